--- /dev/null
+++ b/balsamshed/__init__.py
@@ -0,0 +1,3 @@
+"""Layer-4 load balancer for small operators."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/balsamshed/audit/__init__.py
@@ -0,0 +1,1 @@
+"""Audit trail of configuration changes."""
--- /dev/null
+++ b/balsamshed/codecs/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding of packets, peer messages and resources."""
--- /dev/null
+++ b/balsamshed/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/balsamshed/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: declared resources and a node's copy of them."""
--- /dev/null
+++ b/balsamshed/configuration/catalog.py
@@ -0,0 +1,142 @@
+"""Catalog: a node's copy of its group's records."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from xxhash import xxh3_64_intdigest
+
+from balsamshed.configuration.parsing import Rejection, parse_resource
+from balsamshed.configuration.resources import Resource
+from balsamshed.configuration.routing import RoutingTable, build_routing_table
+
+#: Kinds of objects that declare desired state.
+CONFIGURATION_KINDS = frozenset(('service', 'backend_server'))
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One version of an object of the store.
+
+    Parameters
+    ----------
+    key : str
+        ``<group>/<kind>/<name>``.
+    version : int
+        Number that the store gave to the write; rises over all objects.
+    body : mapping
+        JSON document with ``spec``, ``changes`` and ``deleted``.
+    """
+
+    key: str
+    version: int
+    body: Mapping[str, Any]
+
+
+@dataclass(slots=True)
+class Catalog:
+    """Records of one group, the newest known version of each.
+
+    Attributes
+    ----------
+    records : dict of str to Record
+        Newest version of each object, deleted ones included.
+    resources : dict of str to Resource
+        Last version of each object that had no findings.
+    rejections : dict of str to Rejection
+        Findings of the newest version, for objects that have some.
+    digest : int
+        Exclusive or of the hashes of all keys and versions.
+    highest_version : int
+        Highest version of all records.
+    """
+
+    records: dict[str, Record] = field(default_factory=dict)
+    resources: dict[str, Resource] = field(default_factory=dict)
+    rejections: dict[str, Rejection] = field(default_factory=dict)
+    digest: int = 0
+    highest_version: int = 0
+
+
+def hash_version(key: str, version: int) -> int:
+    """Return a 63-bit hash of one version of an object.
+
+    Parameters
+    ----------
+    key : str
+        Key of the object.
+    version : int
+        Version of the object.
+
+    Returns
+    -------
+    int
+        Non-negative, so that it fits thrift's signed ``i64``.
+    """
+    return xxh3_64_intdigest(f'{key}@{version}'.encode()) >> 1
+
+
+def get_kind(key: str) -> str:
+    """Return the kind part of an object's key."""
+    parts = key.split('/', maxsplit=2)
+    return parts[1] if len(parts) == 3 else ''
+
+
+def merge_records(
+    catalog: Catalog,
+    records: Iterable[Record],
+) -> tuple[Record, ...]:
+    """Take over the records that are newer than the known ones.
+
+    A record replaces only a lower version of its object, so that no answer
+    of a lagging store or peer can bring an older version back.
+
+    Parameters
+    ----------
+    catalog : Catalog
+        Changed in place.
+    records : iterable of Record
+        Records from the store or from a peer, in any order.
+
+    Returns
+    -------
+    tuple of Record
+        The records that were taken over.
+    """
+    taken = []
+    for record in records:
+        known = catalog.records.get(record.key)
+        if known is not None and known.version >= record.version:
+            continue
+        if get_kind(record.key) not in CONFIGURATION_KINDS:
+            continue
+        _replace_record(catalog, known, record)
+        taken.append(record)
+    return tuple(taken)
+
+
+def derive_routing_table(catalog: Catalog) -> RoutingTable:
+    """Build the routing table of the applied resources."""
+    return build_routing_table(catalog.resources.values())
+
+
+def _replace_record(
+    catalog: Catalog,
+    known: Record | None,
+    record: Record,
+) -> None:
+    if known is not None:
+        catalog.digest ^= hash_version(known.key, known.version)
+    catalog.digest ^= hash_version(record.key, record.version)
+    catalog.highest_version = max(catalog.highest_version, record.version)
+    catalog.records[record.key] = record
+    catalog.rejections.pop(record.key, None)
+    if record.body.get('deleted'):
+        catalog.resources.pop(record.key, None)
+        return
+    outcome = parse_resource(record.key, record.body.get('spec'))
+    if isinstance(outcome, Rejection):
+        # The last good version stays in force.
+        catalog.rejections[record.key] = outcome
+    else:
+        catalog.resources[record.key] = outcome
--- /dev/null
+++ b/balsamshed/configuration/parsing.py
@@ -0,0 +1,209 @@
+"""Checks of declared resources."""
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from datetime import datetime
+from ipaddress import IPv4Address
+from types import MappingProxyType
+from typing import Any, Final, cast
+
+from jsonschema import Draft202012Validator
+from jsonschema.exceptions import ValidationError
+
+from balsamshed.configuration.resources import (
+    BackendServer,
+    Listener,
+    ListenerKind,
+    QuietPeriod,
+    Resource,
+    Service,
+    WorkClass,
+)
+from balsamshed.configuration.schemas import (
+    BACKEND_SERVER_SCHEMA,
+    SERVICE_SCHEMA,
+)
+from balsamshed.findings import Finding
+
+_DEFAULT_DEADLINE_SECONDS: Final = 5.0
+# Their messages name the key, which the schema's description cannot.
+_STRUCTURAL_RULES: Final = frozenset(('additionalProperties', 'required'))
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """Sentinel for a resource that was not accepted.
+
+    Parameters
+    ----------
+    key : str
+        Key of the object.
+    findings : tuple of Finding
+        Every fault of the object, at least one.
+    """
+
+    key: str
+    findings: tuple[Finding, ...]
+
+
+def find_faults(
+    schema: Mapping[str, Any],
+    document: object,
+) -> tuple[Finding, ...]:
+    """Compare a JSON document with a schema.
+
+    Parameters
+    ----------
+    schema : mapping
+        JSON schema, draft 2020-12.
+    document : object
+        Decoded JSON document.
+
+    Returns
+    -------
+    tuple of Finding
+        Every fault, ordered by place; empty if there is none.
+    """
+    validator = Draft202012Validator(
+        schema,
+        format_checker=Draft202012Validator.FORMAT_CHECKER,
+    )
+    return tuple(
+        sorted(
+            map(_describe_fault, validator.iter_errors(document)),
+            key=_get_place,
+        ),
+    )
+
+
+def parse_resource(key: str, spec: object) -> Resource | Rejection:
+    """Check the specification of an object.
+
+    Parameters
+    ----------
+    key : str
+        ``<group>/<kind>/<name>``.
+    spec : object
+        Decoded JSON document.
+
+    Returns
+    -------
+    Resource or Rejection
+        The resource, or all findings if there are any.
+    """
+    _group, kind, name = key.split('/', maxsplit=2)
+    schema = _SCHEMAS.get(kind)
+    if schema is None:
+        allowed = ', '.join(_SCHEMAS)
+        return Rejection(key, (Finding('$.kind', kind, allowed),))
+    findings = find_faults(schema, spec)
+    if findings or not isinstance(spec, Mapping):
+        return Rejection(key, findings)
+    findings = tuple(_find_duplicate_ports(spec))
+    if findings:
+        return Rejection(key, findings)
+    return _BUILDERS[kind](name, spec)
+
+
+def parse_wall_time(text: str) -> float:
+    """Return the seconds since the Unix epoch of an RFC 3339 time.
+
+    Parameters
+    ----------
+    text : str
+        Time with an offset, such as ``2026-12-04T20:00:00Z``.
+
+    Returns
+    -------
+    float
+        Seconds since the Unix epoch.
+    """
+    return datetime.fromisoformat(text).timestamp()
+
+
+def _describe_fault(error: ValidationError) -> Finding:
+    allowed = error.message
+    if error.validator not in _STRUCTURAL_RULES:
+        allowed = cast(dict[str, str], error.schema).get('description', allowed)
+    found = json.dumps(error.instance, default=str)
+    return Finding(error.json_path, found[:200], allowed)
+
+
+def _get_place(finding: Finding) -> str:
+    return finding.place
+
+
+def _find_duplicate_ports(spec: Mapping[str, Any]) -> list[Finding]:
+    findings = []
+    seen: set[int] = set()
+    for position, listener in enumerate(spec.get('listeners', ())):
+        port = listener['port']
+        if port in seen:
+            place = f'$.listeners[{position}].port'
+            findings.append(
+                Finding(place, str(port), 'a port used once in the service'),
+            )
+        seen.add(port)
+    return findings
+
+
+def _build_service(name: str, spec: Mapping[str, Any]) -> Service:
+    return Service(
+        name=name,
+        customer=spec['customer'],
+        address=int(IPv4Address(spec['address'])),
+        listeners=tuple(map(_build_listener, spec['listeners'])),
+    )
+
+
+def _build_listener(spec: Mapping[str, Any]) -> Listener:
+    return Listener(
+        name=spec['name'],
+        port=spec['port'],
+        kind=ListenerKind(spec['kind']),
+        work_class=WorkClass(spec['work_class']),
+        deadline_seconds=spec.get(
+            'deadline_seconds',
+            _DEFAULT_DEADLINE_SECONDS,
+        ),
+    )
+
+
+def _build_backend_server(name: str, spec: Mapping[str, Any]) -> BackendServer:
+    return BackendServer(
+        name=name,
+        service=spec['service'],
+        host=int(IPv4Address(spec['host'])),
+        data_centre=spec['data_centre'],
+        slots=spec['slots'],
+        load_url=spec.get('load_url', ''),
+        draining=spec.get('draining', False),
+        quiet_periods=tuple(
+            map(_build_quiet_period, spec.get('quiet_periods', ())),
+        ),
+    )
+
+
+def _build_quiet_period(spec: Mapping[str, Any]) -> QuietPeriod:
+    return QuietPeriod(
+        start_seconds=parse_wall_time(spec['start']),
+        duration_seconds=spec['duration_seconds'],
+        repeat_seconds=spec.get('repeat_seconds', 0),
+    )
+
+
+_SCHEMAS = MappingProxyType(
+    {
+        'service': SERVICE_SCHEMA,
+        'backend_server': BACKEND_SERVER_SCHEMA,
+    }
+)
+_BUILDERS: Mapping[str, Callable[[str, Mapping[str, Any]], Resource]] = (
+    MappingProxyType(
+        {
+            'service': _build_service,
+            'backend_server': _build_backend_server,
+        }
+    )
+)
--- /dev/null
+++ b/balsamshed/configuration/tests/test_catalog.py
@@ -0,0 +1,41 @@
+"""Guards against records that revert or faulty objects that are applied."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from balsamshed.configuration.catalog import Catalog, Record, merge_records
+
+BACKEND_KEY = 'g/backend_server/b1'
+
+
+def make_record(version, **changes):
+    spec = {
+        'service': 'creneau',
+        'host': '10.8.0.1',
+        'data_centre': 'qc-1',
+        'slots': 2,
+        **changes,
+    }
+    return Record(BACKEND_KEY, version, {'spec': spec})
+
+
+@given(st.permutations(range(1, 6)))
+def test_any_order_of_versions_gives_the_highest(order):
+    """A late answer of a lagging store replica must not revert a record."""
+    catalog = Catalog()
+    for version in order:
+        merge_records(catalog, (make_record(version, slots=version),))
+    assert catalog.resources[BACKEND_KEY].slots == 5
+    fresh = Catalog()
+    merge_records(fresh, (make_record(5, slots=5),))
+    assert catalog.digest == fresh.digest
+
+
+def test_faulty_version_keeps_the_last_good_one_in_force():
+    """A bad object must not take a backend server out of service."""
+    catalog = Catalog()
+    merge_records(catalog, (make_record(1),))
+    merge_records(catalog, (make_record(2, slots=0, host='x', extra=1),))
+    assert catalog.resources[BACKEND_KEY].slots == 2
+    places = [f.place for f in catalog.rejections[BACKEND_KEY].findings]
+    assert places == ['$', '$.host', '$.slots']
--- /dev/null
+++ b/balsamshed/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Flows and the backend servers they were placed on."""
--- /dev/null
+++ b/balsamshed/front_ends/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and timers around a node."""
--- /dev/null
+++ b/balsamshed/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on concurrent work and on retries."""
--- /dev/null
+++ b/balsamshed/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines of key=value pairs."""
--- /dev/null
+++ b/balsamshed/members/__init__.py
@@ -0,0 +1,1 @@
+"""Members of a group and the ownership of flows."""
--- /dev/null
+++ b/balsamshed/node/__init__.py
@@ -0,0 +1,1 @@
+"""A balancer: events in, effects out."""
--- /dev/null
+++ b/balsamshed/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a backend server for a new flow."""
--- /dev/null
+++ b/balsamshed/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process."""
--- /dev/null
+++ b/balsamshed/status/__init__.py
@@ -0,0 +1,1 @@
+"""What each member has in force."""
--- /dev/null
+++ b/testbed/__init__.py
@@ -0,0 +1,1 @@
+"""Test doubles of the systems around balsamshed; not shipped."""
