--- /dev/null
+++ b/balsamshed/flows/packets.py
@@ -0,0 +1,78 @@
+"""Packets as the decisions see them."""
+
+from dataclasses import dataclass
+from enum import IntEnum, IntFlag
+
+
+class TcpFlag(IntFlag):
+    """Flag bits of a TCP header (RFC 9293)."""
+
+    FIN = 1
+    SYN = 2
+    RST = 4
+    PSH = 8
+    ACK = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Packet:
+    """One packet of a flow.
+
+    Parameters
+    ----------
+    flow_key : bytes
+        Source address, destination address, source port and destination
+        port as they stand in the packet: 12 bytes.
+    source, destination : int
+        IPv4 addresses as integers.
+    source_port, destination_port : int
+        TCP ports.
+    flags : int
+        TCP flag bits, see `TcpFlag`. A plain integer, since building an
+        `IntFlag` takes longer than the rest of the packet.
+    sequence : int
+        TCP sequence number.
+    raw : bytes
+        The packet as received.
+    """
+
+    flow_key: bytes
+    source: int
+    destination: int
+    source_port: int
+    destination_port: int
+    flags: int
+    sequence: int
+    raw: bytes
+
+
+class RelayKind(IntEnum):
+    """Why a packet is handed from one balancer to another."""
+
+    TO_OWNER = 1
+    LOOKUP = 2
+    RETURNED = 3
+    REFUSAL = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Relay:
+    """A packet on its way between balancers.
+
+    Parameters
+    ----------
+    kind : RelayKind
+        What the receiver is asked to do.
+    asker : str
+        Name of the owner that looks for an entry; empty unless the kind is
+        ``LOOKUP`` or ``RETURNED``.
+    chain : tuple of str
+        Names of the members still to be asked after the receiver.
+    packet : Packet
+        The packet as received from the fabric.
+    """
+
+    kind: RelayKind
+    asker: str
+    chain: tuple[str, ...]
+    packet: Packet
--- /dev/null
+++ b/balsamshed/settings/balancer.py
@@ -0,0 +1,62 @@
+"""Settings of a balancer."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SocketAddress:
+    """An IP address with a port.
+
+    Parameters
+    ----------
+    host : str
+        IPv4 address.
+    port : int
+        UDP or TCP port.
+    """
+
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class BalancerSettings:
+    """What a balancer has to know when it starts.
+
+    Parameters
+    ----------
+    name : str
+        Name of the balancer, unique in its group.
+    group : str
+        Balancers over which the fabric sprays the same addresses.
+    data_centre : str
+        Data centre that the balancer runs in.
+    host : str
+        IPv4 address on which it listens.
+    data_port : int
+        UDP port for packets from the fabric and from peers.
+    control_port : int
+        UDP port for peer messages.
+    metrics_port : int
+        TCP port for metrics and health.
+    fabric : SocketAddress
+        Where packets are handed back to the fabric.
+    store_url : str
+        Address of the object API, ``http://host:port``.
+    peers : tuple of SocketAddress
+        Control ports of some members of the group, to join through.
+    peer_key : bytes
+        Key that authenticates peer messages, 16 to 64 bytes.
+    """
+
+    name: str
+    group: str
+    data_centre: str
+    host: str
+    data_port: int
+    control_port: int
+    metrics_port: int
+    fabric: SocketAddress
+    store_url: str
+    peers: tuple[SocketAddress, ...]
+    peer_key: bytes
