--- /dev/null
+++ b/balsamshed/codecs/relays.py
@@ -0,0 +1,104 @@
+"""Header of packets that one balancer hands to another.
+
+The header is a marker byte that no IPv4 packet starts with, the kind, the
+asker's name and the names of the chain, each with a length byte. Thrift is
+not used here, since encoding it takes longer than a whole packet may.
+"""
+
+from typing import Final
+
+from balsamshed.codecs.packets import MalformedPacket, decode_packet
+from balsamshed.flows.packets import Relay, RelayKind
+
+#: First byte of a relayed packet.
+RELAY_FIRST_BYTE: Final = 0xB5
+#: At most this many members follow in a chain.
+MAX_CHAIN: Final = 8
+
+_BAD_HEADER: Final = MalformedPacket('bad_relay_header')
+_TO_OWNER_PREFIX: Final = bytes((RELAY_FIRST_BYTE, RelayKind.TO_OWNER, 0, 0))
+
+
+def encode_relay(relay: Relay) -> bytes:
+    """Encode a relayed packet.
+
+    Parameters
+    ----------
+    relay : Relay
+        Names of at most 255 bytes, a chain of at most `MAX_CHAIN`.
+
+    Returns
+    -------
+    bytes
+        One datagram.
+    """
+    raw = relay.packet.raw
+    if relay.kind is RelayKind.TO_OWNER and not relay.asker:
+        return _TO_OWNER_PREFIX + raw
+    parts = [
+        bytes((RELAY_FIRST_BYTE, relay.kind)),
+        _encode_name(relay.asker),
+        bytes((len(relay.chain),)),
+        *map(_encode_name, relay.chain),
+        raw,
+    ]
+    return b''.join(parts)
+
+
+def decode_relay(datagram: bytes) -> Relay | MalformedPacket:
+    """Decode a relayed packet.
+
+    Parameters
+    ----------
+    datagram : bytes
+        One datagram.
+
+    Returns
+    -------
+    Relay or MalformedPacket
+        The relay, or the reason why it cannot be used.
+    """
+    if datagram.startswith(_TO_OWNER_PREFIX):
+        packet = decode_packet(datagram[len(_TO_OWNER_PREFIX) :])
+        if isinstance(packet, MalformedPacket):
+            return packet
+        return Relay(RelayKind.TO_OWNER, '', (), packet)
+    return _decode_with_names(datagram)
+
+
+def _decode_with_names(datagram: bytes) -> Relay | MalformedPacket:
+    try:
+        kind = RelayKind(datagram[1])
+        asker, position = _decode_name(datagram, 2)
+        chain, position = _decode_chain(datagram, position)
+    except (IndexError, ValueError):
+        return _BAD_HEADER
+    packet = decode_packet(datagram[position:])
+    if isinstance(packet, MalformedPacket):
+        return packet
+    return Relay(kind, asker, chain, packet)
+
+
+def _decode_chain(
+    datagram: bytes,
+    position: int,
+) -> tuple[tuple[str, ...], int]:
+    count = datagram[position]
+    if count > MAX_CHAIN:
+        raise ValueError(f'a chain of {count} members is too long')
+    position += 1
+    chain: list[str] = []
+    while len(chain) < count:
+        name, position = _decode_name(datagram, position)
+        chain.append(name)
+    return tuple(chain), position
+
+
+def _encode_name(name: str) -> bytes:
+    encoded = name.encode()
+    return bytes((len(encoded),)) + encoded
+
+
+def _decode_name(datagram: bytes, position: int) -> tuple[str, int]:
+    end = position + 1 + datagram[position]
+    return datagram[position + 1 : end].decode(), end
--- /dev/null
+++ b/balsamshed/flows/table.py
@@ -0,0 +1,234 @@
+"""Flow table: which backend server each flow was placed on."""
+
+from dataclasses import dataclass, field
+from functools import lru_cache
+from typing import Final
+
+from balsamshed.flows.packets import Packet
+
+#: A request flow without packets for this long has ended.
+REQUEST_IDLE_SECONDS: Final = 60.0
+#: A feed without a packet of its caller for this long has ended.
+FEED_IDLE_SECONDS: Final = 3600.0
+#: How long an ended flow keeps its entry for late packets.
+LINGER_SECONDS: Final = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a flow goes. Shared by all flows that agree in these fields.
+
+    Parameters
+    ----------
+    host : int
+        IPv4 address of the backend server.
+    is_feed : bool
+        Whether the flow belongs to a listener of kind ``feed``.
+    is_copied : bool
+        Whether the backup holds a copy of the entry.
+    """
+
+    host: int
+    is_feed: bool
+    is_copied: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """A flow whose handshake is not complete.
+
+    Parameters
+    ----------
+    packet : Packet
+        The SYN, kept for another try.
+    tried : tuple of int
+        Hosts that the SYN was sent to; the last one is the current one.
+    started_at : float
+        Monotonic seconds of the first SYN.
+    """
+
+    packet: Packet
+    tried: tuple[int, ...]
+    started_at: float
+
+
+@dataclass(slots=True)
+class FlowTable:
+    """Entries of the flows that a node owns or backs up.
+
+    Attributes
+    ----------
+    placements : dict of bytes to Placement
+        Keyed by flow key.
+    last_seen : dict of bytes to float
+        Monotonic seconds of the last packet or copy.
+    openings : dict of bytes to Opening
+        Flows whose handshake is not complete.
+    opened_at : dict of bytes to float
+        Monotonic seconds of the SYN, for open request flows of this owner.
+    ended : dict of bytes to float
+        Monotonic seconds at which the entry of an ended flow goes.
+    """
+
+    placements: dict[bytes, Placement] = field(default_factory=dict)
+    last_seen: dict[bytes, float] = field(default_factory=dict)
+    openings: dict[bytes, Opening] = field(default_factory=dict)
+    opened_at: dict[bytes, float] = field(default_factory=dict)
+    ended: dict[bytes, float] = field(default_factory=dict)
+
+
+@lru_cache(maxsize=65536)
+def get_placement(host: int, *, is_feed: bool, is_copied: bool) -> Placement:
+    """Return the shared placement with these fields."""
+    return Placement(host, is_feed, is_copied)
+
+
+def add_flow(
+    table: FlowTable,
+    flow_key: bytes,
+    placement: Placement,
+    opening: Opening,
+) -> None:
+    """Enter a flow whose SYN is about to be forwarded.
+
+    Parameters
+    ----------
+    table : FlowTable
+        Changed in place.
+    flow_key : bytes
+        Key of the flow.
+    placement : Placement
+        Where it goes.
+    opening : Opening
+        Its SYN.
+    """
+    table.placements[flow_key] = placement
+    table.last_seen[flow_key] = opening.started_at
+    table.openings[flow_key] = opening
+    table.opened_at[flow_key] = opening.started_at
+    table.ended.pop(flow_key, None)
+
+
+def adopt_flow(
+    table: FlowTable,
+    flow_key: bytes,
+    placement: Placement,
+    now: float,
+) -> None:
+    """Enter a flow that another member has placed.
+
+    Parameters
+    ----------
+    table : FlowTable
+        Changed in place.
+    flow_key : bytes
+        Key of the flow.
+    placement : Placement
+        Where it goes.
+    now : float
+        Monotonic seconds.
+    """
+    table.placements[flow_key] = placement
+    table.last_seen[flow_key] = now
+    table.openings.pop(flow_key, None)
+
+
+def end_flow(table: FlowTable, flow_key: bytes, now: float) -> bool:
+    """Let the entry of a flow go after late packets had their time.
+
+    Parameters
+    ----------
+    table : FlowTable
+        Changed in place.
+    flow_key : bytes
+        Key of the flow.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    bool
+        Whether the flow was open until now.
+    """
+    if flow_key in table.ended:
+        return False
+    table.ended[flow_key] = now + LINGER_SECONDS
+    return True
+
+
+def remove_flow(table: FlowTable, flow_key: bytes) -> Placement | None:
+    """Remove all that is known of a flow.
+
+    Parameters
+    ----------
+    table : FlowTable
+        Changed in place.
+    flow_key : bytes
+        Key of the flow.
+
+    Returns
+    -------
+    Placement or None
+        Where it went, if it was known.
+    """
+    table.last_seen.pop(flow_key, None)
+    table.openings.pop(flow_key, None)
+    table.opened_at.pop(flow_key, None)
+    table.ended.pop(flow_key, None)
+    return table.placements.pop(flow_key, None)
+
+
+def list_ended(table: FlowTable, now: float) -> list[bytes]:
+    """List the flows whose entries may go.
+
+    Entries end in the order in which they were added, so the scan stops at
+    the first that has time left.
+
+    Parameters
+    ----------
+    table : FlowTable
+        Entries of one node.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    list of bytes
+        Flow keys.
+    """
+    keys = []
+    for flow_key, ends_at in table.ended.items():
+        if ends_at > now:
+            break
+        keys.append(flow_key)
+    return keys
+
+
+def is_idle(table: FlowTable, flow_key: bytes, now: float) -> bool:
+    """Tell whether a flow had no packet for longer than its kind allows.
+
+    Parameters
+    ----------
+    table : FlowTable
+        Entries of one node.
+    flow_key : bytes
+        Key of a flow in the table.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    bool
+        True if its entry may go.
+    """
+    is_feed = table.placements[flow_key].is_feed
+    limit = FEED_IDLE_SECONDS if is_feed else REQUEST_IDLE_SECONDS
+    return now - table.last_seen[flow_key] > limit
+
+
+def has_open_request(table: FlowTable) -> bool:
+    """Tell whether a request flow is open that no other member can find."""
+    return any(
+        flow_key not in table.ended and not table.placements[flow_key].is_copied
+        for flow_key in table.opened_at
+    )
--- /dev/null
+++ b/balsamshed/members/history.py
@@ -0,0 +1,148 @@
+"""Former owners of hash slots."""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from balsamshed.members.member import Member
+from balsamshed.members.ownership import Ownership, assign_slots
+
+#: How long a former owner is asked for entries: the longest request.
+KEPT_SECONDS: Final = 60.0
+#: At most this many former owners are asked.
+MAX_FORMER_OWNERS: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class FormerOwnership:
+    """An assignment that is no longer in use.
+
+    Parameters
+    ----------
+    ownership : Ownership
+        The assignment.
+    ended_at : float
+        Monotonic seconds at which it was replaced.
+    """
+
+    ownership: Ownership
+    ended_at: float
+
+
+@dataclass(slots=True)
+class OwnershipHistory:
+    """Current assignment and those of the last minute.
+
+    Attributes
+    ----------
+    current : Ownership
+        The assignment in use.
+    former : list of FormerOwnership
+        Replaced assignments, the newest first.
+    """
+
+    current: Ownership
+    former: list[FormerOwnership] = field(default_factory=list)
+
+
+def replace_ownership(
+    history: OwnershipHistory,
+    members: Iterable[Member],
+    now: float,
+) -> bool:
+    """Assign the hash slots to another set of members.
+
+    Parameters
+    ----------
+    history : OwnershipHistory
+        Changed in place.
+    members : iterable of Member
+        Members that take part, at least one.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    bool
+        Whether the assignment changed.
+    """
+    assigned = assign_slots(members)
+    if assigned == history.current:
+        return False
+    history.former = [
+        FormerOwnership(history.current, now),
+        *_list_recent(history, now, KEPT_SECONDS),
+    ]
+    history.current = assigned
+    return True
+
+
+def list_former_owners(
+    history: OwnershipHistory,
+    slot: int,
+    reachable: Collection[str],
+    now: float,
+) -> list[str]:
+    """List who owned a hash slot during the last minute.
+
+    Parameters
+    ----------
+    history : OwnershipHistory
+        Assignments of one node.
+    slot : int
+        Hash slot.
+    reachable : collection of str
+        Names of the members that may be asked.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    list of str
+        Distinct names, the newest first, without the current owner.
+    """
+    owners: list[str] = []
+    for entry in _list_recent(history, now, KEPT_SECONDS):
+        owner = entry.ownership.owners[slot]
+        is_known = owner in owners or owner == history.current.owners[slot]
+        if owner in reachable and not is_known:
+            owners.append(owner)
+    return owners[:MAX_FORMER_OWNERS]
+
+
+def changed_owner(
+    history: OwnershipHistory,
+    slot: int,
+    now: float,
+    seconds: float,
+) -> bool:
+    """Tell whether a hash slot changed its owner recently.
+
+    Parameters
+    ----------
+    history : OwnershipHistory
+        Assignments of one node.
+    slot : int
+        Hash slot.
+    now : float
+        Monotonic seconds.
+    seconds : float
+        How far to look back.
+
+    Returns
+    -------
+    bool
+        True if another member owned it within that time.
+    """
+    return any(
+        entry.ownership.owners[slot] != history.current.owners[slot]
+        for entry in _list_recent(history, now, seconds)
+    )
+
+
+def _list_recent(
+    history: OwnershipHistory,
+    now: float,
+    seconds: float,
+) -> list[FormerOwnership]:
+    return [entry for entry in history.former if now - entry.ended_at < seconds]
