--- /dev/null
+++ b/testbed/tests/test_connection.py
@@ -0,0 +1,226 @@
+"""Guards against test doubles that break connections by themselves."""
+
+import heapq
+import itertools
+import random
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from balsamshed.flows.packets import TcpFlag
+from testbed.connection import (
+    MAX_TRIES,
+    Connected,
+    ConnectionState,
+    DataReceived,
+    Ended,
+    EndReason,
+    HandshakeMismatched,
+    abort_connection,
+    accept_connection,
+    finish_connection,
+    open_connection,
+    receive_segment,
+    send_data,
+    tick_connection,
+)
+from testbed.packets import (
+    Malformed,
+    Segment,
+    build_packet,
+    build_reset,
+    parse_packet,
+)
+
+CALLER = (0x0A090001, 40000)
+SERVER = (0x0A080001, 7002)
+
+
+class Wire:
+    """Delivers packets late, twice, in any order or not at all."""
+
+    def __init__(self, seed, loss, duplication):
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.duplication = duplication
+        self.queue = []
+        self.numbers = itertools.count()
+
+    def carry(self, end, segments, now):
+        for segment in segments:
+            for _copy in range(1 + (self.random.random() < self.duplication)):
+                if self.random.random() >= self.loss:
+                    at = now + self.random.uniform(0.001, 0.05)
+                    entry = (at, next(self.numbers), end, build_packet(segment))
+                    heapq.heappush(self.queue, entry)
+
+
+class End:
+    def __init__(self):
+        self.connection = None
+        self.received = b''
+        self.events = []
+
+
+def run_exchange(wire, question, answer, limit=400):
+    """The caller asks, the server answers and finishes first."""
+    caller, server = End(), End()
+    now = 0.0
+    caller.connection, reaction = open_connection(
+        CALLER, SERVER, 2**32 - 5, now
+    )
+    wire.carry('server', reaction.segments, now)
+    other = {'server': 'caller', 'caller': 'server'}
+    ends = {'caller': caller, 'server': server}
+
+    def absorb(name, step):
+        end = ends[name]
+        wire.carry(other[name], step.segments, now)
+        for event in step.events:
+            end.events.append(event)
+            if isinstance(event, DataReceived):
+                end.received += event.payload
+
+    absorb('caller', send_data(caller.connection, question, now))
+    answered = False
+    while now < limit:
+        deadlines = [
+            end.connection.deadline
+            for end in ends.values()
+            if end.connection and end.connection.deadline is not None
+        ]
+        arrivals = [wire.queue[0][0]] if wire.queue else []
+        if not deadlines and not arrivals:
+            break
+        now = min(deadlines + arrivals)
+        while wire.queue and wire.queue[0][0] <= now:
+            _at, _number, name, raw = heapq.heappop(wire.queue)
+            segment = parse_packet(raw)
+            end = ends[name]
+            if end.connection is None:
+                end.connection, step = accept_connection(segment, 77, now)
+            else:
+                step = receive_segment(end.connection, segment, now)
+            absorb(name, step)
+        for name, end in ends.items():
+            if end.connection:
+                absorb(name, tick_connection(end.connection, now))
+        if not answered and server.received == question:
+            answered = True
+            absorb('server', send_data(server.connection, answer, now))
+            absorb('server', finish_connection(server.connection, now))
+        if answered and caller.connection.remote_finished:
+            absorb('caller', finish_connection(caller.connection, now))
+    return caller, server
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    seed=st.integers(0, 2**32),
+    loss=st.floats(0, 0.2),
+    duplication=st.floats(0, 0.5),
+    question=st.binary(min_size=1, max_size=5000),
+    size=st.integers(0, 60000),
+)
+def test_data_arrives_complete_under_loss_and_reordering(
+    seed, loss, duplication, question, size
+):
+    """A gap or repeat would be blamed on the balancer."""
+    answer = random.Random(seed).randbytes(size)
+    caller, server = run_exchange(
+        Wire(seed, loss, duplication), question, answer
+    )
+    assert server.received == question
+    assert caller.received == answer
+    for end in (caller, server):
+        assert end.events.count(Connected()) == 1
+        assert end.events[-1] == Ended(EndReason.FINISHED)
+        assert end.connection.state == ConnectionState.CLOSED
+
+
+def test_silence_ends_after_the_last_try():
+    """A connection to nowhere must not wait forever."""
+    connection, reaction = open_connection(CALLER, SERVER, 1, 0.0)
+    sent = len(reaction.segments)
+    times = []
+    events = ()
+    while connection.deadline is not None:
+        now = connection.deadline
+        times.append(round(now, 3))
+        step = tick_connection(connection, now)
+        sent += len(step.segments)
+        events += step.events
+    assert sent == MAX_TRIES
+    assert times[:3] == [0.2, 0.6, 1.4]
+    assert events == (Ended(EndReason.SILENT),)
+
+
+def test_repeated_syn_gets_the_same_answer():
+    """A second sequence number would confuse callers and balancers."""
+    _caller, opened = open_connection(CALLER, SERVER, 5, 0.0)
+    server, first = accept_connection(opened.segments[0], 9, 0.0)
+    again = receive_segment(server, opened.segments[0], 0.1)
+    assert again.segments == first.segments
+
+
+def test_refused_syn_is_recognised_by_the_caller():
+    """G4: only a reset that names the SYN means that nothing ran."""
+    caller, opened = open_connection(CALLER, SERVER, 2**32 - 1, 0.0)
+    reset = build_reset(opened.segments[0])
+    assert reset.flags == TcpFlag.RST | TcpFlag.ACK
+    assert (reset.sequence, reset.acknowledgement) == (0, 0)
+    stray = replace(reset, acknowledgement=99)
+    assert not receive_segment(caller, stray, 0.1).events
+    step = receive_segment(caller, reset, 0.1)
+    assert step.events == (Ended(EndReason.REFUSED),)
+
+
+def test_second_server_rejects_a_handshake_of_the_first():
+    """G5: a SYN placed twice must not give both servers the request."""
+    caller, opened = open_connection(CALLER, SERVER, 5, 0.0)
+    _first, accepted = accept_connection(opened.segments[0], 100, 0.0)
+    second, _answer = accept_connection(opened.segments[0], 200, 0.0)
+    completed = receive_segment(caller, accepted.segments[0], 0.1)
+    step = receive_segment(second, completed.segments[0], 0.2)
+    assert step.events == (HandshakeMismatched(),)
+    assert step.segments[0].flags == TcpFlag.RST
+    assert step.segments[0].sequence == 101
+
+
+def test_abort_resets_the_other_end():
+    """A cancelled request must reach the backend server as a reset."""
+    caller, opened = open_connection(CALLER, SERVER, 5, 0.0)
+    server, accepted = accept_connection(opened.segments[0], 100, 0.0)
+    completed = receive_segment(caller, accepted.segments[0], 0.1)
+    receive_segment(server, completed.segments[0], 0.1)
+    step = receive_segment(server, abort_connection(caller).segments[0], 0.2)
+    assert step.events == (Ended(EndReason.RESET),)
+
+
+@given(
+    numbers=st.tuples(st.integers(0, 2**32 - 1), st.integers(0, 2**32 - 1)),
+    payload=st.binary(max_size=1200),
+    position=st.integers(0, 10000),
+    bit=st.integers(0, 7),
+)
+def test_checksums_find_every_changed_bit(numbers, payload, position, bit):
+    """A balancer that writes wrong checksums must be noticed."""
+    segment = Segment(*CALLER, *SERVER, *numbers, int(TcpFlag.ACK), payload)
+    raw = build_packet(segment)
+    assert len(raw) == 40 + len(payload)
+    assert parse_packet(raw) == segment
+    changed = bytearray(raw)
+    changed[position % len(raw)] ^= 1 << bit
+    assert isinstance(parse_packet(bytes(changed)), Malformed)
+
+
+def test_known_header_checksum():
+    """The sum agrees with an independent addition of 16-bit words."""
+    raw = build_packet(
+        Segment(*CALLER, *SERVER, 1, 2, int(TcpFlag.ACK), b'abc')
+    )
+    total = sum(int.from_bytes(raw[at : at + 2]) for at in range(0, 20, 2))
+    while total >> 16:
+        total = (total & 0xFFFF) + (total >> 16)
+    assert total == 0xFFFF
