--- a/testbed/tests/test_connection.py
+++ b/testbed/tests/test_connection.py
@@ -57,61 +57,68 @@
 
 
 class End:
-    def __init__(self):
+    def __init__(self, wire, other):
+        self.wire = wire
+        self.other = other
         self.connection = None
         self.received = b''
         self.events = []
 
+    def absorb(self, step, now):
+        self.wire.carry(self.other, step.segments, now)
+        for event in step.events:
+            self.events.append(event)
+            if isinstance(event, DataReceived):
+                self.received += event.payload
+
+    def receive(self, raw, now):
+        segment = parse_packet(raw)
+        if self.connection is None:
+            self.connection, step = accept_connection(segment, 77, now)
+        else:
+            step = receive_segment(self.connection, segment, now)
+        self.absorb(step, now)
+
+
+def find_next_time(ends, wire):
+    times = [
+        end.connection.deadline
+        for end in ends
+        if end.connection and end.connection.deadline is not None
+    ]
+    times.extend(entry[0] for entry in wire.queue[:1])
+    return min(times, default=None)
+
+
+def advance(ends, wire, now):
+    while wire.queue and wire.queue[0][0] <= now:
+        _at, _number, name, raw = heapq.heappop(wire.queue)
+        ends[name].receive(raw, now)
+    for end in ends.values():
+        if end.connection:
+            end.absorb(tick_connection(end.connection, now), now)
+
 
 def run_exchange(wire, question, answer, limit=400):
     """The caller asks, the server answers and finishes first."""
-    caller, server = End(), End()
+    caller, server = End(wire, 'server'), End(wire, 'caller')
+    ends = {'caller': caller, 'server': server}
     now = 0.0
     caller.connection, reaction = open_connection(
         CALLER, SERVER, 2**32 - 5, now
     )
-    wire.carry('server', reaction.segments, now)
-    other = {'server': 'caller', 'caller': 'server'}
-    ends = {'caller': caller, 'server': server}
-
-    def absorb(name, step):
-        end = ends[name]
-        wire.carry(other[name], step.segments, now)
-        for event in step.events:
-            end.events.append(event)
-            if isinstance(event, DataReceived):
-                end.received += event.payload
-
-    absorb('caller', send_data(caller.connection, question, now))
+    caller.absorb(reaction, now)
+    caller.absorb(send_data(caller.connection, question, now), now)
     answered = False
-    while now < limit:
-        deadlines = [
-            end.connection.deadline
-            for end in ends.values()
-            if end.connection and end.connection.deadline is not None
-        ]
-        arrivals = [wire.queue[0][0]] if wire.queue else []
-        if not deadlines and not arrivals:
-            break
-        now = min(deadlines + arrivals)
-        while wire.queue and wire.queue[0][0] <= now:
-            _at, _number, name, raw = heapq.heappop(wire.queue)
-            segment = parse_packet(raw)
-            end = ends[name]
-            if end.connection is None:
-                end.connection, step = accept_connection(segment, 77, now)
-            else:
-                step = receive_segment(end.connection, segment, now)
-            absorb(name, step)
-        for name, end in ends.items():
-            if end.connection:
-                absorb(name, tick_connection(end.connection, now))
+    while now is not None and now < limit:
+        advance(ends, wire, now)
         if not answered and server.received == question:
             answered = True
-            absorb('server', send_data(server.connection, answer, now))
-            absorb('server', finish_connection(server.connection, now))
+            server.absorb(send_data(server.connection, answer, now), now)
+            server.absorb(finish_connection(server.connection, now), now)
         if answered and caller.connection.remote_finished:
-            absorb('caller', finish_connection(caller.connection, now))
+            caller.absorb(finish_connection(caller.connection, now), now)
+        now = find_next_time(ends.values(), wire)
     return caller, server
 
 
