Add the fabric of the test bed

Cause: tests need packets in both directions to reach any balancer. Ruled out: a fabric that hashes flows, since the platform sprays single packets; forgetting the data port of a balancer that left the list, since a leaving balancer still delivers the packets it holds.

--- a/testbed/addresses.py
+++ b/testbed/addresses.py
@@ -52,8 +52,8 @@
     ValueError
         If there is no port or it is not a number.
     """
-    host, colon, port = text.rpartition(':')
-    if not colon or not port.isdecimal():
+    host, _colon, port = str(text).rpartition(':')
+    if not host or not port.isdecimal():
         raise ValueError(f'{text!r} is not of the form host:port')
     return host, int(port)
 
--- /dev/null
+++ b/testbed/fabric.py
@@ -0,0 +1,207 @@
+"""The platform's fabric, which sprays packets over the balancers.
+
+Each datagram is one IPv4 packet. What a balancer sends goes to the host of
+the packet's destination address; what anyone else sends goes to a random
+balancer. ``python -m testbed.fabric --help`` lists the options.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+from typing import Any, Final
+
+import defopt
+
+from testbed.addresses import (
+    HostTable,
+    SocketAddress,
+    build_host_table,
+    find_host,
+    parse_assignments,
+    parse_socket_address,
+)
+from testbed.datagrams import listen_datagrams, send_datagram
+from testbed.http_api import (
+    build_getter,
+    build_router,
+    build_setter,
+    listen_http,
+)
+from testbed.packets import HEADER_BYTES
+from testbed.programs import run_until_stopped
+
+_FIRST_BYTE: Final = 0x45
+_SOURCE: Final = slice(12, 16)
+_DESTINATION: Final = slice(16, 20)
+
+
+@dataclass(slots=True)
+class Fabric:
+    """Tables of the fabric.
+
+    Attributes
+    ----------
+    choose : callable
+        Picks one entry of a non-empty sequence at random.
+    balancers : tuple of (str, SocketAddress)
+        Name and data port of each balancer that gets packets.
+    senders : set of SocketAddress
+        Data ports of all balancers so far: a balancer that left the list
+        may still deliver what it holds.
+    hosts : HostTable
+        Configured hosts.
+    learned : dict of int to SocketAddress
+        Where packets with this source address came from.
+    sprayed : Counter of str
+        Packets handed to each balancer.
+    counters : Counter of str
+        Other events.
+    """
+
+    choose: Callable[[Sequence[Any]], Any]
+    balancers: tuple[tuple[str, SocketAddress], ...] = ()
+    senders: set[SocketAddress] = field(default_factory=set)
+    hosts: HostTable = field(default_factory=partial(build_host_table, {}))
+    learned: dict[int, SocketAddress] = field(default_factory=dict)
+    sprayed: Counter[str] = field(default_factory=Counter)
+    counters: Counter[str] = field(default_factory=Counter)
+
+
+def replace_balancers(fabric: Fabric, assignments: Mapping[str, str]) -> None:
+    """Replace the list of balancers that get packets.
+
+    Parameters
+    ----------
+    fabric : Fabric
+        Changed in place.
+    assignments : mapping of str to str
+        ``host:port`` of the data port for each balancer's name.
+
+    Raises
+    ------
+    ValueError
+        If a value is not of the form ``host:port``.
+    """
+    fabric.balancers = tuple(
+        (name, parse_socket_address(text)) for name, text in assignments.items()
+    )
+    fabric.senders.update(address for _name, address in fabric.balancers)
+
+
+def route_packet(
+    fabric: Fabric,
+    raw: bytes,
+    sender: SocketAddress,
+) -> SocketAddress | None:
+    """Choose where a packet goes.
+
+    Parameters
+    ----------
+    fabric : Fabric
+        Counters and learned hosts are changed in place.
+    raw : bytes
+        The packet.
+    sender : SocketAddress
+        Where the packet came from.
+
+    Returns
+    -------
+    SocketAddress or None
+        None if the packet is dropped.
+    """
+    if len(raw) < HEADER_BYTES or raw[0] != _FIRST_BYTE:
+        fabric.counters['malformed'] += 1
+        return None
+    if sender in fabric.senders:
+        return _find_destination(fabric, raw)
+    fabric.learned[int.from_bytes(raw[_SOURCE])] = sender
+    if not fabric.balancers:
+        fabric.counters['no_balancer'] += 1
+        return None
+    name, balancer = fabric.choose(fabric.balancers)
+    fabric.sprayed[name] += 1
+    return balancer  # type: ignore[no-any-return]
+
+
+def describe_counters(fabric: Fabric) -> dict[str, object]:
+    """Return the counters as a JSON document."""
+    names = ('delivered', 'unknown_host', 'malformed', 'no_balancer', 'unsent')
+    return {
+        'sprayed': dict(fabric.sprayed),
+        **{name: fabric.counters[name] for name in names},
+    }
+
+
+def run_fabric(
+    *,
+    port: int,
+    control_port: int,
+    balancers: str = '',
+    hosts: str = '',
+    seed: int = 0,
+) -> None:
+    """Run the fabric until it gets SIGTERM.
+
+    Parameters
+    ----------
+    port : int
+        UDP port for packets.
+    control_port : int
+        TCP port for PUT /balancers, PUT /hosts and GET /counters.
+    balancers : str
+        name=host:port of each balancer's data port, separated by commas.
+    hosts : str
+        address_or_network=host:port of hosts, separated by commas; others
+        are learned from what they send.
+    seed : int
+        Seed of the random choice of balancers.
+    """
+    fabric = Fabric(Random(seed).choice)  # noqa: S311
+    replace_balancers(fabric, parse_assignments(balancers))
+    fabric.hosts = build_host_table(parse_assignments(hosts))
+    _listen(fabric, port)
+    listen_http(control_port, _build_control(fabric))
+    run_until_stopped('fabric', port=port, control_port=control_port)
+
+
+def _find_destination(fabric: Fabric, raw: bytes) -> SocketAddress | None:
+    address = int.from_bytes(raw[_DESTINATION])
+    found = find_host(fabric.hosts, address) or fabric.learned.get(address)
+    fabric.counters['delivered' if found else 'unknown_host'] += 1
+    return found
+
+
+def _listen(fabric: Fabric, port: int) -> None:
+    def receive(raw: bytes, sender: SocketAddress) -> None:
+        destination = route_packet(fabric, raw, sender)
+        if destination and not send_datagram(listening, raw, destination):
+            fabric.counters['unsent'] += 1
+
+    listening = listen_datagrams(port, receive)
+
+
+def _build_control(fabric: Fabric) -> Callable[[Any], None]:
+    def put_balancers(assignments: dict[str, Any]) -> object:
+        replace_balancers(fabric, assignments)
+        return assignments
+
+    def put_hosts(assignments: dict[str, Any]) -> object:
+        fabric.hosts = build_host_table(assignments)
+        return assignments
+
+    def get_counters() -> object:
+        return describe_counters(fabric)
+
+    return build_router(
+        {
+            ('PUT', '/balancers'): build_setter(put_balancers),
+            ('PUT', '/hosts'): build_setter(put_hosts),
+            ('GET', '/counters'): build_getter(get_counters),
+        }
+    )
+
+
+if __name__ == '__main__':
+    defopt.run(run_fabric)
--- /dev/null
+++ b/testbed/http_api.py
@@ -0,0 +1,188 @@
+"""HTTP with JSON bodies for the test doubles."""
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+
+#: Answers one request, now or later.
+RequestHandler = Callable[[Any], None]
+#: Handlers by method and path.
+Routes = Mapping[tuple[str, str], RequestHandler]
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """Sentinel for a body that is not a JSON object.
+
+    Parameters
+    ----------
+    reason : str
+        What is wrong with it.
+    """
+
+    reason: str
+
+
+class Api(Resource):
+    """Hands every request to a function.
+
+    Parameters
+    ----------
+    handle : callable
+        Called with each request.
+    """
+
+    isLeaf = True  # noqa: N815, WPS115  (name given by Twisted)
+
+    def __init__(self, handle: RequestHandler) -> None:
+        super().__init__()
+        self.handle = handle
+
+    def render(self, request: Any) -> Any:
+        """Pass a request on; its handler finishes it."""
+        self.handle(request)
+        return NOT_DONE_YET
+
+
+def listen_http(port: int, handle: RequestHandler) -> Any:
+    """Serve HTTP on a loopback port.
+
+    Parameters
+    ----------
+    port : int
+        TCP port on 127.0.0.1.
+    handle : callable
+        Called with each request.
+
+    Returns
+    -------
+    object
+        Twisted's listening port.
+    """
+    return reactor.listenTCP(port, Site(Api(handle)), interface='127.0.0.1')
+
+
+def build_router(routes: Routes) -> RequestHandler:
+    """Build a handler that chooses by method and path.
+
+    Parameters
+    ----------
+    routes : mapping of (str, str) to callable
+        Handlers by method and path.
+
+    Returns
+    -------
+    callable
+        Handler that answers 404 where there is no route.
+    """
+
+    def handle(request: Any) -> None:
+        method, path = request.method.decode(), request.path.decode()
+        found = routes.get((method, path))
+        if found is None:
+            answer_json(request, 404, {'error': f'no {method} on {path}'})
+        else:
+            found(request)
+
+    return handle
+
+
+def answer_json(request: Any, code: int, document: object) -> None:
+    """Finish a request, unless its client is gone.
+
+    Parameters
+    ----------
+    request : twisted.web.http.Request
+        The request.
+    code : int
+        HTTP status code.
+    document : object
+        What to send as JSON.
+    """
+    # Twisted removes the channel when the client closes the connection.
+    if request.channel is None or request.finished:
+        return
+    request.setResponseCode(code)
+    request.setHeader(b'Content-Type', b'application/json')
+    request.write(json.dumps(document).encode())
+    request.finish()
+
+
+def read_json(request: Any) -> dict[str, Any] | Unreadable:
+    """Decode the body of a request.
+
+    Parameters
+    ----------
+    request : twisted.web.http.Request
+        The request.
+
+    Returns
+    -------
+    dict or Unreadable
+        The JSON object of the body.
+    """
+    request.content.seek(0)
+    try:
+        document = json.loads(request.content.read())
+    except ValueError as error:
+        return Unreadable(str(error))
+    if not isinstance(document, dict):
+        return Unreadable('the body is not a JSON object')
+    return document
+
+
+def build_setter(
+    apply: Callable[[dict[str, Any]], object],
+) -> RequestHandler:
+    """Build a handler that applies a JSON object.
+
+    Parameters
+    ----------
+    apply : callable
+        Takes the object; raises ValueError if it is malformed; its result
+        is the response.
+
+    Returns
+    -------
+    callable
+        Handler that answers 400 to a malformed body.
+    """
+
+    def handle(request: Any) -> None:
+        document = read_json(request)
+        if isinstance(document, Unreadable):
+            answer_json(request, 400, {'error': document.reason})
+            return
+        try:
+            applied = apply(document)
+        except ValueError as error:
+            answer_json(request, 400, {'error': str(error)})
+            return
+        answer_json(request, 200, applied)
+
+    return handle
+
+
+def build_getter(read: Callable[[], object]) -> RequestHandler:
+    """Build a handler that answers with a document.
+
+    Parameters
+    ----------
+    read : callable
+        Returns what to send as JSON.
+
+    Returns
+    -------
+    callable
+        The handler.
+    """
+
+    def handle(request: Any) -> None:
+        answer_json(request, 200, read())
+
+    return handle
