Add the object API and VM list of the test bed

Cause: balancers and the command line need a platform to write to and watch. Ruled out: a file behind the store, since tests restart nothing that has to remember; answering a silenced watch once the fault is over, since connections that go silent do so for good. Change: conditional writes, lists, long-poll watches and a lagging VM list, with faults: outage, delay, lost write responses, stale reads, silent and compacted watches. Conclusion: every call is counted by kind; control calls have no faults.

--- /dev/null
+++ b/testbed/platform.py
@@ -0,0 +1,513 @@
+"""The platform's object API and VM list, in memory.
+
+``docs/design.md`` describes the calls under ``/v1``. The control calls for
+tests are not subject to faults: ``POST /faults``, ``PUT /vms`` and
+``GET /counters``. ``python -m testbed.platform --help`` lists the options.
+"""
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field, fields, replace
+from typing import Any, Final
+from urllib.parse import unquote
+
+import defopt
+from twisted.internet import reactor
+
+from testbed.http_api import (
+    RequestHandler,
+    Unreadable,
+    answer_json,
+    build_getter,
+    build_router,
+    build_setter,
+    listen_http,
+    read_json,
+)
+from testbed.programs import run_until_stopped
+
+#: Largest body of an object.
+MAX_BODY_BYTES: Final = 1_000_000
+#: Longest wait of a watch.
+MAX_WATCH_MS: Final = 60_000
+
+_OBJECTS_PATH: Final = '/v1/objects'
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """One version of an object.
+
+    Parameters
+    ----------
+    key : str
+        Key of the object.
+    version : int
+        Revision of the store that the write made.
+    body : object
+        JSON document.
+    """
+
+    key: str
+    version: int
+    body: object
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Sentinel for a write that named another version.
+
+    Parameters
+    ----------
+    version : int
+        Version in the store; zero if the object does not exist.
+    """
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Faults:
+    """What is wrong with the platform.
+
+    Parameters
+    ----------
+    outage : bool
+        Answer 503 to every call, pending watches included.
+    delay_ms : float
+        Wait before each call is handled.
+    lose_write_responses : int
+        Number of writes that still take effect without a response.
+    stale_reads : bool
+        Answer reads and lists from the objects when the fault was set.
+    silent_watches : bool
+        Never answer the pending watches and those that come meanwhile.
+    compacted : bool
+        Answer 410 to watches since revisions before the fault was set.
+    """
+
+    outage: bool = False
+    delay_ms: float = 0
+    lose_write_responses: int = 0
+    stale_reads: bool = False
+    silent_watches: bool = False
+    compacted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Objects at one revision.
+
+    Parameters
+    ----------
+    revision : int
+        Highest version.
+    objects : mapping of str to StoredObject
+        Objects by key.
+    """
+
+    revision: int
+    objects: Mapping[str, StoredObject]
+
+
+@dataclass(eq=False, slots=True)
+class Watch:
+    """A watch that waits for a change.
+
+    Attributes
+    ----------
+    request : object
+        Request to answer.
+    prefix : str
+        Keys that it watches.
+    since : int
+        Revision that the client knows.
+    silent : bool
+        Whether it never gets an answer, even after the fault is over.
+    timer : object
+        Pending timeout.
+    """
+
+    request: Any
+    prefix: str
+    since: int
+    silent: bool = False
+    timer: Any = None
+
+
+@dataclass(slots=True)
+class Platform:
+    """State of the platform.
+
+    Attributes
+    ----------
+    revision : int
+        Highest version so far.
+    objects : dict of str to StoredObject
+        Newest version of each object.
+    watches : list of Watch
+        Watches without an answer.
+    faults : Faults
+        Current faults.
+    stale : Snapshot or None
+        What reads see while they are stale.
+    oldest_revision : int
+        Watches since earlier revisions get 410.
+    vms : list of object
+        VM list as it is answered.
+    vm_lag_seconds : float
+        How long a new VM list takes to appear.
+    calls : Counter of str
+        Calls by kind.
+    """
+
+    revision: int = 0
+    objects: dict[str, StoredObject] = field(default_factory=dict)
+    watches: list[Watch] = field(default_factory=list)
+    faults: Faults = Faults()
+    stale: Snapshot | None = None
+    oldest_revision: int = 0
+    vms: list[object] = field(default_factory=list)
+    vm_lag_seconds: float = 0
+    calls: Counter[str] = field(default_factory=Counter)
+
+
+def write_object(
+    platform: Platform,
+    key: str,
+    expected_version: int,
+    body: object,
+) -> StoredObject | Conflict:
+    """Write an object if its version is the expected one.
+
+    Parameters
+    ----------
+    platform : Platform
+        Changed in place.
+    key : str
+        Key of the object.
+    expected_version : int
+        Version that the writer knows; zero if the object must not exist.
+    body : object
+        JSON document.
+
+    Returns
+    -------
+    StoredObject or Conflict
+        What is stored now, or the version that stands in the way.
+    """
+    known = platform.objects.get(key)
+    current = known.version if known else 0
+    if current != expected_version:
+        return Conflict(current)
+    platform.revision += 1
+    written = StoredObject(key, platform.revision, body)
+    platform.objects[key] = written
+    return written
+
+
+def list_objects(
+    snapshot: Snapshot,
+    prefix: str,
+    since: int = 0,
+) -> dict[str, object]:
+    """List objects as the API answers.
+
+    Parameters
+    ----------
+    snapshot : Snapshot
+        Objects to choose from.
+    prefix : str
+        Start of the keys.
+    since : int
+        Only versions over this one.
+
+    Returns
+    -------
+    dict
+        Revision and objects, the oldest version first.
+    """
+    found = sorted(
+        (
+            entry
+            for key, entry in snapshot.objects.items()
+            if key.startswith(prefix) and entry.version > since
+        ),
+        key=_get_version,
+    )
+    return {
+        'revision': snapshot.revision,
+        'objects': [asdict(entry) for entry in found],
+    }
+
+
+def set_faults(platform: Platform, changes: Mapping[str, Any]) -> Faults:
+    """Change some faults and leave the others as they are.
+
+    Parameters
+    ----------
+    platform : Platform
+        Changed in place.
+    changes : mapping of str to object
+        New values by the names of `Faults`.
+
+    Returns
+    -------
+    Faults
+        All current faults.
+
+    Raises
+    ------
+    ValueError
+        If a name is unknown.
+    """
+    unknown = set(changes) - {known.name for known in fields(Faults)}
+    if unknown:
+        raise ValueError(f'unknown faults: {sorted(unknown)}')
+    platform.faults = replace(platform.faults, **changes)
+    if 'stale_reads' in changes:
+        platform.stale = None
+        if platform.faults.stale_reads:
+            platform.stale = Snapshot(platform.revision, dict(platform.objects))
+    if 'compacted' in changes:
+        compacted = platform.faults.compacted
+        platform.oldest_revision = platform.revision if compacted else 0
+    for watch in tuple(platform.watches):
+        watch.silent = watch.silent or platform.faults.silent_watches
+        if platform.faults.outage and not watch.silent:
+            _answer_watch(platform, watch, 503, {'error': 'outage'})
+    return platform.faults
+
+
+def build_api(platform: Platform) -> RequestHandler:
+    """Build the handler of all HTTP calls.
+
+    Parameters
+    ----------
+    platform : Platform
+        State that the calls read and change.
+
+    Returns
+    -------
+    callable
+        Handler of requests.
+    """
+    control = build_router(
+        {
+            ('POST', '/faults'): build_setter(
+                lambda changes: asdict(set_faults(platform, changes))
+            ),
+            ('PUT', '/vms'): build_setter(
+                lambda document: _set_vms(platform, document)
+            ),
+            ('GET', '/counters'): build_getter(lambda: dict(platform.calls)),
+        }
+    )
+
+    def handle(request: Any) -> None:
+        if not request.path.startswith(b'/v1/'):
+            control(request)
+            return
+        kind = _classify(request)
+        platform.calls[kind] += 1
+        if platform.faults.delay_ms:
+            delay_seconds = platform.faults.delay_ms / 1000
+            reactor.callLater(delay_seconds, _serve, platform, kind, request)
+        else:
+            _serve(platform, kind, request)
+
+    return handle
+
+
+def run_platform(*, port: int, vm_lag_ms: float = 0) -> None:
+    """Run the platform until it gets SIGTERM.
+
+    Parameters
+    ----------
+    port : int
+        TCP port of the API and the control calls.
+    vm_lag_ms : float
+        How long a new VM list takes to appear.
+    """
+    platform = Platform(vm_lag_seconds=vm_lag_ms / 1000)
+    listen_http(port, build_api(platform))
+    run_until_stopped('platform', port=port)
+
+
+def _get_version(entry: StoredObject) -> int:
+    return entry.version
+
+
+def _classify(request: Any) -> str:
+    path = request.path.decode()
+    if request.method == b'PUT':
+        return 'write' if path.startswith(f'{_OBJECTS_PATH}/') else 'unknown'
+    if request.method != b'GET':
+        return 'unknown'
+    if path.startswith(f'{_OBJECTS_PATH}/'):
+        return 'read'
+    kinds = {_OBJECTS_PATH: 'list', '/v1/watch': 'watch', '/v1/vms': 'vms'}
+    return kinds.get(path, 'unknown')
+
+
+def _serve(platform: Platform, kind: str, request: Any) -> None:
+    if platform.faults.outage:
+        platform.calls['outage'] += 1
+        answer_json(request, 503, {'error': 'outage'})
+        return
+    _HANDLERS[kind](platform, request)
+
+
+def _get_key(request: Any) -> str:
+    return unquote(request.path.decode()).removeprefix(f'{_OBJECTS_PATH}/')
+
+
+def _get_argument(request: Any, name: str, default: str) -> str:
+    found = request.args.get(name.encode())
+    return found[0].decode() if found else default
+
+
+def _get_number(request: Any, name: str, default: int) -> int:
+    text = _get_argument(request, name, '')
+    return int(text) if text.isdecimal() else default
+
+
+def _get_readable(platform: Platform) -> Snapshot:
+    return platform.stale or Snapshot(platform.revision, platform.objects)
+
+
+def _read(platform: Platform, request: Any) -> None:
+    found = _get_readable(platform).objects.get(_get_key(request))
+    if found is None:
+        answer_json(request, 404, {'error': 'no such object'})
+    else:
+        answer_json(request, 200, asdict(found))
+
+
+def _list(platform: Platform, request: Any) -> None:
+    prefix = _get_argument(request, 'prefix', '')
+    answer_json(request, 200, list_objects(_get_readable(platform), prefix))
+
+
+def _write(platform: Platform, request: Any) -> None:
+    if request.content.seek(0, 2) > MAX_BODY_BYTES:
+        answer_json(request, 413, {'error': 'the body is over 1 MB'})
+        return
+    expected = request.getHeader('If-Match') or ''
+    document = read_json(request)
+    if isinstance(document, Unreadable) or not expected.isdecimal():
+        error = 'If-Match with a version and a JSON object are required'
+        answer_json(request, 400, {'error': error})
+        return
+    written = write_object(platform, _get_key(request), int(expected), document)
+    if isinstance(written, Conflict):
+        platform.calls['conflict'] += 1
+        answer_json(request, 412, {'version': written.version})
+        return
+    _notify_watches(platform)
+    _answer_write(platform, request, written)
+
+
+def _answer_write(
+    platform: Platform,
+    request: Any,
+    written: StoredObject,
+) -> None:
+    left = platform.faults.lose_write_responses
+    if left > 0:
+        platform.faults = replace(
+            platform.faults, lose_write_responses=left - 1
+        )
+        platform.calls['lost_response'] += 1
+        request.loseConnection()
+        return
+    answer_json(request, 200, {'version': written.version})
+
+
+def _watch(platform: Platform, request: Any) -> None:
+    since = _get_number(request, 'since', 0)
+    silent = platform.faults.silent_watches
+    if since < platform.oldest_revision and not silent:
+        answer_json(request, 410, {'error': 'the revision is too old'})
+        return
+    watch = Watch(request, _get_argument(request, 'prefix', ''), since, silent)
+    timeout_ms = min(
+        _get_number(request, 'timeout_ms', MAX_WATCH_MS), MAX_WATCH_MS
+    )
+    platform.watches.append(watch)
+    watch.timer = reactor.callLater(
+        timeout_ms / 1000, _expire_watch, platform, watch
+    )
+    request.notifyFinish().addBoth(lambda _done: _drop_watch(platform, watch))
+    _notify_watches(platform)
+
+
+def _expire_watch(platform: Platform, watch: Watch) -> None:
+    if watch.silent:
+        return
+    document: dict[str, object] = {
+        'revision': platform.revision,
+        'objects': [],
+    }
+    _answer_watch(platform, watch, 200, document)
+
+
+def _notify_watches(platform: Platform) -> None:
+    snapshot = Snapshot(platform.revision, platform.objects)
+    for watch in tuple(platform.watches):
+        if watch.since < platform.revision and not watch.silent:
+            document = list_objects(snapshot, watch.prefix, watch.since)
+            if document['objects']:
+                _answer_watch(platform, watch, 200, document)
+
+
+def _answer_watch(
+    platform: Platform,
+    watch: Watch,
+    code: int,
+    document: object,
+) -> None:
+    _drop_watch(platform, watch)
+    answer_json(watch.request, code, document)
+
+
+def _drop_watch(platform: Platform, watch: Watch) -> None:
+    if watch in platform.watches:
+        platform.watches.remove(watch)
+    if watch.timer.active():
+        watch.timer.cancel()
+
+
+def _list_vms(platform: Platform, request: Any) -> None:
+    answer_json(request, 200, {'vms': platform.vms})
+
+
+def _refuse_unknown(platform: Platform, request: Any) -> None:
+    answer_json(request, 404, {'error': 'no such call'})
+
+
+def _set_vms(platform: Platform, document: dict[str, Any]) -> object:
+    vms = document.get('vms')
+    if not isinstance(vms, list):
+        raise ValueError('"vms" has to be a list')
+    if platform.vm_lag_seconds:
+        reactor.callLater(
+            platform.vm_lag_seconds, setattr, platform, 'vms', vms
+        )
+    else:
+        platform.vms = vms
+    return {'vms': vms}
+
+
+_HANDLERS: Final = {
+    'read': _read,
+    'list': _list,
+    'write': _write,
+    'watch': _watch,
+    'vms': _list_vms,
+    'unknown': _refuse_unknown,
+}
+
+
+if __name__ == '__main__':
+    defopt.run(run_platform)
