--- a/testbed/platform.py
+++ b/testbed/platform.py
@@ -7,13 +7,14 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import asdict, dataclass, field, fields, replace
+from dataclasses import asdict, dataclass, field, replace
 from typing import Any, Final
 from urllib.parse import unquote
 
 import defopt
 from twisted.internet import reactor
 
+from testbed.faults import change_faults
 from testbed.http_api import (
     RequestHandler,
     Unreadable,
@@ -261,10 +262,7 @@
     ValueError
         If a name is unknown.
     """
-    unknown = set(changes) - {known.name for known in fields(Faults)}
-    if unknown:
-        raise ValueError(f'unknown faults: {sorted(unknown)}')
-    platform.faults = replace(platform.faults, **changes)
+    platform.faults = change_faults(platform.faults, changes)
     if 'stale_reads' in changes:
         platform.stale = None
         if platform.faults.stale_reads:
--- /dev/null
+++ b/testbed/tests/test_backend_server.py
@@ -0,0 +1,201 @@
+"""Guards against a backend server that misleads the tests of G2 to G6."""
+
+import pytest
+from twisted.internet.task import Clock
+
+from testbed.addresses import parse_address
+from testbed.backend_server import (
+    ServerFaults,
+    ServerSettings,
+    build_server,
+    describe_load,
+    describe_runs,
+    get_service_seconds,
+    receive_datagram,
+)
+from testbed.connection import DataReceived, Ended, EndReason, RemoteFinished
+from testbed.endpoint import (
+    Endpoint,
+    Verdict,
+    abort,
+    connect,
+    finish,
+    get_key,
+    receive_packet,
+    send_on,
+)
+from testbed.messages import build_payload, compute_payload_checksum
+
+HOST = parse_address('10.8.0.1')
+CALLER = parse_address('10.9.0.1')
+
+
+class Bench:
+    """A backend server and callers on one clock, without loss."""
+
+    def __init__(self, cold_start_seconds=0, **faults):
+        self.clock = Clock()
+        self.received = {}
+        self.ends = {}
+        settings = ServerSettings(
+            name='b1',
+            service='creneau',
+            host=HOST,
+            feed_ports=frozenset((7001,)),
+            request_ports=frozenset((7002,)),
+            slots=1,
+            max_queued=1,
+            tick_ms=200,
+            cold_start_seconds=cold_start_seconds,
+            report_lag_ms=0,
+        )
+        self.server = build_server(
+            settings, ServerFaults(20, **faults), self.clock, self.to_caller
+        )
+        self.callers = Endpoint(
+            send=self.to_server,
+            clock=self.clock,
+            choose_sequence=lambda: 1,
+            judge=lambda _segment: Verdict.REFUSE,
+            notify=self.notify,
+        )
+        self.ports = iter(range(40000, 50000))
+
+    def to_caller(self, raw):
+        self.clock.callLater(0.001, receive_packet, self.callers, raw)
+
+    def to_server(self, raw):
+        self.clock.callLater(0.001, receive_datagram, self.server, raw)
+
+    def notify(self, connection, event):
+        key = get_key(connection)
+        if isinstance(event, DataReceived):
+            known = self.received.get(key, b'')
+            self.received[key] = known + event.payload
+        elif isinstance(event, RemoteFinished):
+            finish(self.callers, connection)
+        elif isinstance(event, Ended):
+            self.ends[key] = event.reason
+
+    def open(self, port, line=b''):
+        local = CALLER, next(self.ports)
+        connection = connect(self.callers, local, (HOST, port))
+        if line:
+            send_on(self.callers, connection, line)
+        return connection
+
+    def run(self, seconds):
+        self.clock.pump([0.001] * round(seconds * 1000))
+
+    def read(self, connection):
+        return self.received.get(get_key(connection), b'')
+
+    def get_end(self, connection):
+        return self.ends.get(get_key(connection))
+
+
+def test_request_gets_its_payload_and_is_recorded():
+    """G3 and G5 are checked against this record and checksum."""
+    bench = Bench()
+    connection = bench.open(7002, b'request r1 creneau 3000 1000\n')
+    bench.run(0.5)
+    line, _end, payload = bench.read(connection).partition(b'\n')
+    checksum = compute_payload_checksum(build_payload('r1', 3000))
+    assert line.decode() == f'done r1 b1 3000 {checksum}'
+    assert payload == build_payload('r1', 3000)
+    assert bench.get_end(connection) == EndReason.FINISHED
+    runs = describe_runs(bench.server)
+    assert runs['runs'] == {'r1': 1}
+    assert [port for _time, port in runs['accepted']] == [7002]
+    assert runs['unknown_packets'] == 0
+    assert describe_load(bench.server)['open_connections'] == 0
+
+
+@pytest.mark.parametrize('stop', [finish, abort])
+def test_queued_request_is_cancelled(stop):
+    """A cancelled request that runs would waste a slot."""
+    bench = Bench()
+    bench.open(7002, b'request r1 creneau 10 1000\n')
+    bench.run(0.005)
+    waiting = bench.open(7002, b'request r2 creneau 10 1000\n')
+    bench.run(0.005)
+    load = describe_load(bench.server)
+    assert (load['in_flight'], load['queued']) == (1, 1)
+    stop(bench.callers, waiting)
+    bench.run(0.2)
+    assert describe_runs(bench.server)['runs'] == {'r1': 1}
+
+
+def test_late_request_expires_without_running():
+    """An expired request that ran would break its answer's promise."""
+    bench = Bench()
+    bench.open(7002, b'request r1 creneau 10 1000\n')
+    bench.run(0.005)
+    late = bench.open(7002, b'request r2 creneau 10 5\n')
+    bench.run(0.2)
+    assert bench.read(late) == b'expired r2\n'
+    assert describe_runs(bench.server)['runs'] == {'r1': 1}
+
+
+def test_full_queue_refuses_connections():
+    """G4: a shed request must not run."""
+    bench = Bench()
+    for number in range(3):
+        line = f'request r{number} creneau 10 1000\n'
+        bench.open(7002, line.encode())
+    bench.run(0.01)
+    refused = bench.open(7002, b'request r9 creneau 10 1000\n')
+    bench.run(0.3)
+    assert bench.get_end(refused) == EndReason.REFUSED
+    assert 'r9' not in describe_runs(bench.server)['runs']
+
+
+def test_feed_ticks_without_gaps_until_closed():
+    """G1 is checked by counting ticks."""
+    bench = Bench()
+    feed = bench.open(7001, b'feed f1\n')
+    bench.run(0.7)
+    lines = bench.read(feed).split(b'\n')[:-1]
+    assert lines == [f'tick creneau {n}'.encode() for n in (1, 2, 3, 4)]
+    finish(bench.callers, feed)
+    bench.run(0.5)
+    assert bench.get_end(feed) == EndReason.FINISHED
+    assert not bench.server.sessions
+
+
+def test_other_service_is_counted_and_reset():
+    """G2: a request that reached the wrong service must show."""
+    bench = Bench()
+    request = bench.open(7002, b'request r1 registre 10 1000\n')
+    feed = bench.open(7001, b'feed f1 registre\n')
+    bench.run(0.1)
+    assert bench.get_end(request) == EndReason.RESET
+    assert bench.get_end(feed) == EndReason.RESET
+    runs = describe_runs(bench.server)
+    assert (runs['wrong_service'], runs['runs']) == (2, {})
+
+
+def test_faults_of_the_server():
+    """Each fault has to act, or the tests that use it prove nothing."""
+    shedding = Bench(shed=True)
+    refused = shedding.open(7001, b'feed f1\n')
+    silent = Bench(unresponsive=True)
+    unanswered = silent.open(7001, b'feed f1\n')
+    for bench in (shedding, silent):
+        bench.run(0.1)
+    assert shedding.get_end(refused) == EndReason.REFUSED
+    assert silent.get_end(unanswered) is None
+    lying = Bench(lie_idle=True)
+    lying.open(7002, b'request r1 creneau 10 1000\n')
+    lying.run(0.01)
+    assert describe_load(lying.server)['in_flight'] == 0
+
+
+def test_cold_server_warms_up():
+    """A cold start that is not slow would not test the ramp."""
+    bench = Bench(cold_start_seconds=2)
+    times = []
+    for _step in range(4):
+        times.append(round(get_service_seconds(bench.server), 3))
+        bench.clock.advance(1)
+    assert times == [0.08, 0.05, 0.02, 0.02]
