Keep load and health of backend servers on a board

Cause: reports lag or lie, and one balancer sees only a share of the flows. Ruled out: trusting a report until the next one comes; ejecting on refusals, since a server that sheds is alive. Change: LoadBoard with own open counts, reports that lose weight with age and are distrusted when they contradict own observations, penalties for refusals, bounded ejection with a single trial flow, and the cold-start ramp.

--- /dev/null
+++ b/balsamshed/placement/board.py
@@ -0,0 +1,415 @@
+"""Load board: load and health of all backend servers, from one balancer."""
+
+from dataclasses import dataclass, field
+from math import inf
+from typing import Final
+
+from balsamshed.configuration.resources import BackendServer, ListenerKind
+from balsamshed.placement.hosts import (
+    HostLoad,
+    add_penalty,
+    smooth_duration,
+)
+from balsamshed.placement.messages import LoadReport
+
+#: Reports that contradict what the balancer sees are ignored this long.
+DISTRUST_SECONDS: Final = 10.0
+
+#: A host is slow if its durations exceed the fastest host's by this factor.
+SLOW_FACTOR: Final = 3.0
+
+#: Penalty in multiples of the slots: a refusal counts as a full queue, an
+#: unanswered SYN as a host to avoid until others answer.
+REFUSED_PENALTY: Final = 2.0
+UNANSWERED_PENALTY: Final = 8.0
+
+#: Unanswered SYNs in a row before a host is ejected. One may be a caller
+#: that vanished, and the next one too.
+FAILURES_TO_EJECT: Final = 3
+
+#: A host that answered this recently is not ejected: SYNs that callers
+#: never complete would otherwise eject hosts that work.
+ANSWERED_RECENTLY_SECONDS: Final = 1.0
+
+#: Time to the first trial; doubles with each ejection in a row.
+FIRST_TRIAL_SECONDS: Final = 1.0
+LAST_TRIAL_SECONDS: Final = 60.0
+
+#: A trial without an outcome is replaced after this time: its flow may have
+#: been dropped before it was forwarded.
+TRIAL_TIMEOUT_SECONDS: Final = 5.0
+
+#: An ejection this long after the last return starts again at the first
+#: trial time.
+FORGET_EJECTIONS_SECONDS: Final = 60.0
+
+
+@dataclass(slots=True)
+class LoadBoard:
+    """Load and health of backend servers, as one balancer sees them.
+
+    Attributes
+    ----------
+    member_count : int
+        Balancers among which the flows are divided.
+    hosts : dict of int to HostLoad
+        Keyed by the IPv4 address of the endpoint.
+    services : dict of str to tuple of BackendServer
+        Backend servers of each service that were last usable.
+    """
+
+    member_count: int = 1
+    hosts: dict[int, HostLoad] = field(default_factory=dict)
+    services: dict[str, tuple[BackendServer, ...]] = field(
+        default_factory=dict,
+    )
+
+
+def set_member_count(board: LoadBoard, member_count: int) -> None:
+    """Set the number of balancers among which the flows are divided.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        Changed in place.
+    member_count : int
+        Live balancers of the group, this one included.
+    """
+    board.member_count = max(1, member_count)
+
+
+def get_host_load(board: LoadBoard, host: int) -> HostLoad:
+    """Return what is known of a host, creating its entry if needed."""
+    host_load = board.hosts.get(host)
+    if host_load is None:
+        host_load = HostLoad()
+        board.hosts[host] = host_load
+    return host_load
+
+
+def observe_servers(
+    board: LoadBoard,
+    service: str,
+    servers: tuple[BackendServer, ...],
+    now: float,
+) -> None:
+    """Take note of the backend servers of a service that take new work.
+
+    A host that was not among them the last time starts its ramp. The first
+    time all hosts count as warm, since none is known to be colder than the
+    others.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        Changed in place.
+    service : str
+        Name of the service.
+    servers : tuple of BackendServer
+        Its backend servers that take new work.
+    now : float
+        Monotonic seconds.
+    """
+    known = board.services.get(service)
+    # Listeners of a service have tuples of their own with the same elements.
+    if known is servers or known == servers:
+        return
+    board.services[service] = servers
+    hosts = {server.host for server in servers}
+    known_hosts = hosts if known is None else {entry.host for entry in known}
+    for server in servers:
+        host_load = get_host_load(board, server.host)
+        host_load.service = service
+        host_load.slots = server.slots
+        if server.host not in known_hosts:
+            host_load.ramp_start = now
+    for host in known_hosts - hosts:
+        board.hosts[host].service = ''
+        _forget_if_unused(board, host)
+    _readmit_excess(board, service, now)
+
+
+def count_ejected(board: LoadBoard, service: str) -> int:
+    """Return the number of a service's usable hosts that are ejected."""
+    return sum(
+        board.hosts[server.host].is_ejected
+        for server in board.services.get(service, ())
+    )
+
+
+def get_ejection_bound(server_count: int) -> int:
+    """Return how many of a service's hosts may be ejected at once.
+
+    Parameters
+    ----------
+    server_count : int
+        Backend servers of the service that take new work.
+
+    Returns
+    -------
+    int
+        A third, rounded down, but one if there are two or more.
+    """
+    if server_count < 2:
+        return 0
+    return max(1, server_count // 3)
+
+
+def record_opened(board: LoadBoard, host: int, kind: ListenerKind) -> None:
+    """Record that a flow was sent to a host.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        Changed in place.
+    host : int
+        IPv4 address of the endpoint.
+    kind : ListenerKind
+        Kind of the flow's listener.
+    """
+    host_load = get_host_load(board, host)
+    if kind is ListenerKind.FEED:
+        host_load.open_feeds += 1
+    else:
+        host_load.open_requests += 1
+
+
+def record_closed(
+    board: LoadBoard,
+    host: int,
+    kind: ListenerKind,
+    now: float,
+    duration_seconds: float | None = None,
+) -> None:
+    """Record that a flow left a host, for whatever reason.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        Changed in place.
+    host : int
+        IPv4 address of the endpoint.
+    kind : ListenerKind
+        Kind of the flow's listener.
+    now : float
+        Monotonic seconds.
+    duration_seconds : float, optional
+        Time from SYN to end if the response was complete.
+    """
+    host_load = get_host_load(board, host)
+    if kind is ListenerKind.FEED:
+        host_load.open_feeds = max(0, host_load.open_feeds - 1)
+        _forget_if_unused(board, host)
+        return
+    host_load.open_requests = max(0, host_load.open_requests - 1)
+    host_load.lowest_open = min(host_load.lowest_open, host_load.open_requests)
+    if duration_seconds is not None:
+        smooth_duration(host_load, duration_seconds, now)
+        if _claims_idle(host_load) and _is_slow(board, host_load):
+            host_load.distrusted_until = now + DISTRUST_SECONDS
+    _forget_if_unused(board, host)
+
+
+def record_accepted(board: LoadBoard, host: int, now: float) -> None:
+    """Record that a host answered a SYN, or that a caller sent data.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        Changed in place.
+    host : int
+        IPv4 address of the endpoint.
+    now : float
+        Monotonic seconds.
+    """
+    host_load = get_host_load(board, host)
+    host_load.failures = 0
+    host_load.answered_at = now
+    if host_load.is_ejected and host_load.trial_at > -inf:
+        _readmit(host_load, now)
+
+
+def record_refused(board: LoadBoard, host: int, now: float) -> None:
+    """Record that a host answered a SYN with RST.
+
+    It is alive, so it is not ejected, but it should get less work.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        Changed in place.
+    host : int
+        IPv4 address of the endpoint.
+    now : float
+        Monotonic seconds.
+    """
+    record_accepted(board, host, now)
+    host_load = board.hosts[host]
+    add_penalty(host_load, REFUSED_PENALTY * host_load.slots, now)
+    if _claims_idle(host_load):
+        host_load.distrusted_until = now + DISTRUST_SECONDS
+
+
+def record_unanswered(board: LoadBoard, host: int, now: float) -> None:
+    """Record that a SYN was not accepted within its time.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        Changed in place.
+    host : int
+        IPv4 address of the endpoint.
+    now : float
+        Monotonic seconds.
+    """
+    host_load = get_host_load(board, host)
+    host_load.failures += 1
+    add_penalty(host_load, UNANSWERED_PENALTY * host_load.slots, now)
+    if host_load.is_ejected:
+        if host_load.trial_at > -inf:
+            _postpone_trial(host_load, now)
+        return
+    if host_load.failures < FAILURES_TO_EJECT:
+        return
+    if now - host_load.answered_at < ANSWERED_RECENTLY_SECONDS:
+        return
+    service = host_load.service
+    bound = get_ejection_bound(len(board.services.get(service, ())))
+    if count_ejected(board, service) < bound and _is_usable(board, host):
+        if now - host_load.ramp_start > FORGET_EJECTIONS_SECONDS:
+            host_load.ejections = 0
+        host_load.is_ejected = True
+        _postpone_trial(host_load, now)
+
+
+def record_report(board: LoadBoard, report: LoadReport, now: float) -> None:
+    """Record what a host said about itself.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        Changed in place.
+    report : LoadReport
+        The report; ignored if it is not newer than the last one.
+    now : float
+        Monotonic seconds.
+    """
+    host_load = get_host_load(board, report.host)
+    taken_at = now - max(0, report.age_seconds)
+    if taken_at <= host_load.reported_at:
+        return
+    host_load.reported = max(0, report.in_flight) + max(0, report.queued)
+    host_load.reported_at = taken_at
+    # Own requests that were open all the time cannot be missing in it.
+    surely_open = min(host_load.lowest_open, host_load.previous_lowest_open)
+    if host_load.reported < surely_open:
+        host_load.distrusted_until = now + DISTRUST_SECONDS
+    host_load.previous_lowest_open = host_load.lowest_open
+    host_load.lowest_open = host_load.open_requests
+    host_load.open_at_report = host_load.open_requests
+
+
+def take_trial(board: LoadBoard, host: int, now: float) -> bool:
+    """Claim the single trial flow of an ejected host.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        Changed in place if the trial is due.
+    host : int
+        IPv4 address of the endpoint.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    bool
+        True if the flow is to be sent to the host as a trial.
+    """
+    host_load = board.hosts[host]
+    if not host_load.is_ejected or now < host_load.ejected_until:
+        return False
+    if now - host_load.trial_at < TRIAL_TIMEOUT_SECONDS:
+        return False
+    host_load.trial_at = now
+    return True
+
+
+def get_fastest_duration(board: LoadBoard, service: str) -> float:
+    """Return the lowest smoothed duration of a service's hosts.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        The board.
+    service : str
+        Name of the service.
+
+    Returns
+    -------
+    float
+        Seconds; zero if no request has finished.
+    """
+    durations = [
+        duration
+        for server in board.services.get(service, ())
+        if (duration := board.hosts[server.host].duration_seconds)
+    ]
+    return min(durations, default=0)
+
+
+def _claims_idle(host_load: HostLoad) -> bool:
+    return host_load.reported < host_load.slots
+
+
+def _is_slow(board: LoadBoard, host_load: HostLoad) -> bool:
+    fastest = get_fastest_duration(board, host_load.service)
+    return bool(fastest) and (
+        host_load.duration_seconds > SLOW_FACTOR * fastest
+    )
+
+
+def _is_usable(board: LoadBoard, host: int) -> bool:
+    service = board.hosts[host].service
+    return any(
+        server.host == host for server in board.services.get(service, ())
+    )
+
+
+def _postpone_trial(host_load: HostLoad, now: float) -> None:
+    # The exponent is bounded, so that the power cannot overflow.
+    wait = FIRST_TRIAL_SECONDS * 2.0 ** min(host_load.ejections, 10)
+    host_load.ejected_until = now + min(wait, LAST_TRIAL_SECONDS)
+    host_load.ejections += 1
+    host_load.trial_at = -inf
+
+
+def _readmit(host_load: HostLoad, now: float) -> None:
+    host_load.is_ejected = False
+    host_load.trial_at = -inf
+    host_load.ramp_start = now
+
+
+def _readmit_excess(board: LoadBoard, service: str, now: float) -> None:
+    # Fewer usable hosts lower the bound; those due first come back.
+    servers = board.services[service]
+    ejected = [
+        host_load
+        for server in servers
+        if (host_load := board.hosts[server.host]).is_ejected
+    ]
+    ejected.sort(key=_get_ejected_until)
+    excess = len(ejected) - get_ejection_bound(len(servers))
+    for host_load in ejected[: max(0, excess)]:
+        _readmit(host_load, now)
+
+
+def _get_ejected_until(host_load: HostLoad) -> float:
+    return host_load.ejected_until
+
+
+def _forget_if_unused(board: LoadBoard, host: int) -> None:
+    host_load = board.hosts[host]
+    if host_load.service or host_load.open_requests or host_load.open_feeds:
+        return
+    board.hosts.pop(host)
--- /dev/null
+++ b/balsamshed/placement/estimates.py
@@ -0,0 +1,124 @@
+"""Estimated load of a backend server.
+
+The score of a host is the load that the next flow would see there in
+relation to the host's slots, so scores of hosts of one service compare.
+"""
+
+from math import exp2
+from typing import Final
+
+from balsamshed.placement.board import LoadBoard, get_fastest_duration
+from balsamshed.placement.hosts import HostLoad, get_penalty
+
+#: Reports lose half their weight in this time.
+REPORT_HALF_LIFE_SECONDS: Final = 1.0
+REPORT_LIFETIME_SECONDS: Final = 10.0
+
+#: Time in which a host's share rises from the least to the full one.
+RAMP_SECONDS: Final = 10.0
+RAMP_LEAST_SHARE: Final = 0.1
+
+#: Durations of a host that gets no more requests lose their effect.
+SLOWNESS_HALF_LIFE_SECONDS: Final = 5.0
+SLOWNESS_LIMIT: Final = 10.0
+
+
+def get_ramp_share(host_load: HostLoad, now: float) -> float:
+    """Return the share of the usual work that a host gets.
+
+    Parameters
+    ----------
+    host_load : HostLoad
+        The host.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    float
+        Rises from 0.1 to 1 in 10 s after the host was new or came back.
+    """
+    elapsed = now - host_load.ramp_start
+    if elapsed >= RAMP_SECONDS:
+        return 1
+    return max(RAMP_LEAST_SHARE, elapsed / RAMP_SECONDS)
+
+
+def estimate_requests(
+    board: LoadBoard,
+    host_load: HostLoad,
+    now: float,
+) -> float:
+    """Estimate how many requests a host runs or has queued.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        The board that the host belongs to.
+    host_load : HostLoad
+        The host.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    float
+        Own open requests times the number of balancers, joined with the last
+        report by its weight.
+    """
+    open_requests = host_load.open_requests
+    scaled = open_requests * board.member_count
+    age = now - host_load.reported_at
+    if age >= REPORT_LIFETIME_SECONDS or now < host_load.distrusted_until:
+        return scaled
+    weight = exp2(-age / REPORT_HALF_LIFE_SECONDS)
+    change = open_requests - host_load.open_at_report
+    # A host runs at least what this balancer has open on it.
+    reported = max(host_load.reported + change, open_requests)
+    return weight * reported + (1 - weight) * scaled
+
+
+def estimate_slowness(
+    board: LoadBoard,
+    host_load: HostLoad,
+    now: float,
+) -> float:
+    """Estimate how much slower a host is than the fastest of its service.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        The board that the host belongs to.
+    host_load : HostLoad
+        The host.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    float
+        From 1 to 10; returns to 1 while the host gets no requests.
+    """
+    duration = host_load.duration_seconds
+    fastest = get_fastest_duration(board, host_load.service)
+    if duration <= fastest:
+        return 1
+    slowness = min(SLOWNESS_LIMIT, duration / fastest)
+    age = now - host_load.duration_at
+    return 1 + (slowness - 1) * exp2(-age / SLOWNESS_HALF_LIFE_SECONDS)
+
+
+def score_requests(board: LoadBoard, host: int, now: float) -> float:
+    """Return the score of a host for a new request; the lowest is best."""
+    host_load = board.hosts[host]
+    load = estimate_requests(board, host_load, now)
+    load += get_penalty(host_load, now) + 1
+    return load * estimate_slowness(board, host_load, now) / host_load.slots
+
+
+def score_feeds(board: LoadBoard, host: int, now: float) -> float:
+    """Return the score of a host for a new feed; the lowest is best."""
+    host_load = board.hosts[host]
+    load = host_load.open_feeds * board.member_count + 1
+    avoidance = 1 + get_penalty(host_load, now) / host_load.slots
+    return load * avoidance / host_load.slots
