Add four placement policies with one signature

Cause: the choice of the design has to be compared with simpler ones. Ruled out: dividing the score of a ramping host by its share in addition to the draw that admits flows to it; the share then stayed at zero at half time. Change: hash, round robin, two choices and aged policies as factories. Conclusion: the margins are to be settled with the load model.

--- /dev/null
+++ b/balsamshed/placement/policy.py
@@ -0,0 +1,235 @@
+"""Placement policies: which backend server gets a new flow."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from xxhash import xxh3_64_intdigest
+
+from balsamshed.configuration.resources import BackendServer, ListenerKind
+from balsamshed.configuration.routing import Route
+from balsamshed.placement.board import (
+    LoadBoard,
+    get_host_load,
+    observe_servers,
+    take_trial,
+)
+from balsamshed.placement.candidates import list_candidates, list_usable
+from balsamshed.placement.estimates import (
+    get_ramp_share,
+    score_feeds,
+    score_requests,
+)
+
+#: The default's score must exceed the other's by this factor before a flow
+#: leaves the default. A request off the default costs a flow copy; a feed is
+#: copied in any case.
+REQUEST_MARGIN: Final = 1.5
+FEED_MARGIN: Final = 1.05
+
+#: Seed of the digest that decides which flows a ramping host gets.
+_RAMP_SEED: Final = 0x52414D50
+_DIGEST_SCALE: Final = 0.5**64
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Where to send a new flow.
+
+    Parameters
+    ----------
+    candidates : tuple of BackendServer
+        Backend servers in the order to try, at least one.
+    is_default : bool
+        Whether the first one is the default endpoint.
+    """
+
+    candidates: tuple[BackendServer, ...]
+    is_default: bool
+
+
+@dataclass(frozen=True, slots=True)
+class NoBackendServer:
+    """Sentinel: no backend server can take the flow.
+
+    Parameters
+    ----------
+    reason : str
+        Why there is none.
+    """
+
+    reason: str
+
+
+#: Route, flow key, monotonic seconds, seconds since the Unix epoch.
+PlacementPolicy = Callable[
+    [Route, bytes, float, float],
+    Choice | NoBackendServer,
+]
+
+
+def create_hash_policy() -> PlacementPolicy:
+    """Create a policy that always takes the default endpoint."""
+
+    def choose(
+        route: Route,
+        flow_key: bytes,
+        now: float,
+        wall_time: float,
+    ) -> Choice | NoBackendServer:
+        ranked = list_candidates(route, flow_key, wall_time)
+        if not ranked:
+            return _explain_none(route)
+        return Choice(ranked, is_default=True)
+
+    return choose
+
+
+def create_round_robin_policy() -> PlacementPolicy:
+    """Create a policy that takes the backend servers of a route in turn."""
+    turns: dict[str, int] = {}
+
+    def choose(
+        route: Route,
+        flow_key: bytes,
+        now: float,
+        wall_time: float,
+    ) -> Choice | NoBackendServer:
+        servers = list_usable(route, wall_time)
+        if not servers:
+            return _explain_none(route)
+        turn = turns.get(route.name, 0)
+        turns[route.name] = turn + 1
+        first = turn % len(servers)
+        ordered = servers[first:] + servers[:first]
+        default = list_candidates(route, flow_key, wall_time)[0]
+        return Choice(ordered, ordered[0] is default)
+
+    return choose
+
+
+def create_two_choices_policy(board: LoadBoard) -> PlacementPolicy:
+    """Create a policy that compares own open flows on two candidates.
+
+    The two are the first in rendezvous order, which is as good as random.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        Gives the open flows; reports and failures are ignored.
+
+    Returns
+    -------
+    PlacementPolicy
+        The policy.
+    """
+
+    def choose(
+        route: Route,
+        flow_key: bytes,
+        now: float,
+        wall_time: float,
+    ) -> Choice | NoBackendServer:
+        ranked = list_candidates(route, flow_key, wall_time)
+        if len(ranked) < 2:
+            return Choice(ranked, True) if ranked else _explain_none(route)
+        default = get_host_load(board, ranked[0].host)
+        other = get_host_load(board, ranked[1].host)
+        if route.listener.kind is ListenerKind.FEED:
+            is_better = other.open_feeds < default.open_feeds
+        else:
+            is_better = other.open_requests < default.open_requests
+        return _order(ranked, ranked[0], is_better)
+
+    return choose
+
+
+def create_aged_policy(
+    board: LoadBoard,
+    may_leave_default: Callable[[], bool],
+) -> PlacementPolicy:
+    """Create the policy that joins own counts with aged reports.
+
+    Parameters
+    ----------
+    board : LoadBoard
+        Load and health of the hosts; the policy takes note of usable hosts
+        and claims trial flows of ejected ones.
+    may_leave_default : callable
+        Whether the budget for flow copies allows a flow off its default
+        endpoint. Only asked when the flow would leave it by load.
+
+    Returns
+    -------
+    PlacementPolicy
+        The policy.
+    """
+
+    def choose(
+        route: Route,
+        flow_key: bytes,
+        now: float,
+        wall_time: float,
+    ) -> Choice | NoBackendServer:
+        ranked = list_candidates(route, flow_key, wall_time)
+        if not ranked:
+            return _explain_none(route)
+        servers = list_usable(route, wall_time)
+        observe_servers(board, route.service.name, servers, now)
+        default = ranked[0]
+        hosts = board.hosts
+        healthy = tuple(
+            [server for server in ranked if not hosts[server.host].is_ejected],
+        )
+        if len(healthy) < len(ranked) and take_trial(board, default.host, now):
+            return Choice((default, *healthy), is_default=True)
+        if len(healthy) < 2:
+            return _order(healthy, default, is_swapped=False)
+        is_swapped = _prefers_second(board, route, healthy, flow_key, now)
+        if is_swapped and healthy[0] is default:
+            # A flow that has to leave the default anyway may go to either.
+            is_swapped = may_leave_default()
+        return _order(healthy, default, is_swapped)
+
+    return choose
+
+
+def _prefers_second(
+    board: LoadBoard,
+    route: Route,
+    healthy: tuple[BackendServer, ...],
+    flow_key: bytes,
+    now: float,
+) -> bool:
+    first, second = healthy[0].host, healthy[1].host
+    first_share = get_ramp_share(board.hosts[first], now)
+    second_share = get_ramp_share(board.hosts[second], now)
+    if first_share != second_share:
+        # A host that ramps up gets a fixed share of the flows, not all that
+        # its low load would attract.
+        draw = xxh3_64_intdigest(flow_key, _RAMP_SEED) * _DIGEST_SCALE
+        if draw * second_share >= first_share:
+            return True
+        if draw * first_share >= second_share:
+            return False
+    if route.listener.kind is ListenerKind.FEED:
+        limit = FEED_MARGIN * score_feeds(board, second, now)
+        return score_feeds(board, first, now) > limit
+    limit = REQUEST_MARGIN * score_requests(board, second, now)
+    return score_requests(board, first, now) > limit
+
+
+def _order(
+    servers: tuple[BackendServer, ...],
+    default: BackendServer,
+    is_swapped: bool,
+) -> Choice:
+    if is_swapped:
+        servers = (servers[1], servers[0], *servers[2:])
+    return Choice(servers, servers[0] is default)
+
+
+def _explain_none(route: Route) -> NoBackendServer:
+    return NoBackendServer(
+        f'no backend server of {route.service.name} takes new work',
+    )
