Add limiter, retry budget and refusal by work class

Cause: overload must be refused before anything is forwarded, by limits that follow from what is observed. Ruled out: comparing single durations with the shortest one, since service times vary and the shortest says nothing about queueing. Change: Limiter with additive rise and multiplicative fall, RetryBudget of a tenth of the successes plus ten, and the choice of work classes by the event-loop delay with hysteresis. Conclusion: start values are to be checked with the load model.

--- /dev/null
+++ b/balsamshed/limits/overload.py
@@ -0,0 +1,79 @@
+"""Work classes that a balancer refuses when it is short of CPU time itself.
+
+The delay of the event loop is the queueing time of the balancer, which DAGOR
+(SoCC 2018) uses as its sign of overload. Only new flows are refused: packets
+of open flows are always forwarded, and new feeds are never refused here.
+"""
+
+from dataclasses import dataclass, field
+from math import inf
+from types import MappingProxyType
+from typing import Final
+
+from balsamshed.configuration.resources import WorkClass
+from balsamshed.limits.limiter import Refused
+
+#: Event-loop delay in seconds at which a class is refused, the least urgent
+#: class first.
+REFUSE_DELAYS: Final = MappingProxyType(
+    {WorkClass.BULK: 0.05, WorkClass.URGENT: 0.2},
+)
+
+#: A class is admitted again below this part of its delay, and not earlier
+#: than this time after the delay was last above it: refusing lowers the
+#: delay, so without hysteresis the class would alternate with each sample.
+RESUME_FACTOR: Final = 0.5
+HOLD_SECONDS: Final = 1.0
+
+REFUSED_BY_OVERLOAD: Final = Refused('balancer short of CPU time')
+
+
+@dataclass(slots=True)
+class OverloadState:
+    """Work classes that are refused at present.
+
+    Attributes
+    ----------
+    refused : frozenset of WorkClass
+        Classes whose new flows are refused.
+    last_over : dict of WorkClass to float
+        Monotonic time at which the delay last called for each class's
+        refusal.
+    """
+
+    refused: frozenset[WorkClass] = frozenset()
+    last_over: dict[WorkClass, float] = field(default_factory=dict)
+
+
+def record_loop_delay(
+    state: OverloadState,
+    delay_seconds: float,
+    now: float,
+) -> frozenset[WorkClass]:
+    """Choose the classes to refuse from a sample of the event-loop delay.
+
+    Parameters
+    ----------
+    state : OverloadState
+        Changed in place.
+    delay_seconds : float
+        How late a timer of the event loop fired.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    frozenset of WorkClass
+        Classes whose new flows are to be refused; never feeds.
+    """
+    refused = set()
+    for work_class, limit in REFUSE_DELAYS.items():
+        is_refused = work_class in state.refused
+        threshold = limit * RESUME_FACTOR if is_refused else limit
+        if delay_seconds >= threshold:
+            state.last_over[work_class] = now
+        since_over = now - state.last_over.get(work_class, -inf)
+        if since_over <= 0 or (is_refused and since_over < HOLD_SECONDS):
+            refused.add(work_class)
+    state.refused = frozenset(refused)
+    return state.refused
--- /dev/null
+++ b/balsamshed/limits/retries.py
@@ -0,0 +1,58 @@
+"""Retry budget: how many refused flows may be tried elsewhere."""
+
+from dataclasses import dataclass
+from typing import Final
+
+#: Retries for each successful connection, as one in this number. Counted in
+#: whole parts, so that no rounding error adds up.
+SUCCESSES_PER_RETRY: Final = 10
+
+#: Retries that a new budget allows, and the most that it keeps: successes
+#: of quiet times must not pay for a burst of retries during overload.
+RESERVE_RETRIES: Final = 10
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Retries that are left, in tenths of a retry.
+
+    Attributes
+    ----------
+    parts : int
+        Ten for each retry that is left.
+    """
+
+    parts: int = RESERVE_RETRIES * SUCCESSES_PER_RETRY
+
+
+def record_success(budget: RetryBudget) -> None:
+    """Add a tenth of a retry for a successful connection.
+
+    Parameters
+    ----------
+    budget : RetryBudget
+        Changed in place, up to the reserve.
+    """
+    budget.parts = min(
+        budget.parts + 1,
+        RESERVE_RETRIES * SUCCESSES_PER_RETRY,
+    )
+
+
+def take_retry(budget: RetryBudget) -> bool:
+    """Take one retry from the budget if one is left.
+
+    Parameters
+    ----------
+    budget : RetryBudget
+        Changed in place if a retry is left.
+
+    Returns
+    -------
+    bool
+        Whether the flow may be tried on another backend server.
+    """
+    if budget.parts < SUCCESSES_PER_RETRY:
+        return False
+    budget.parts -= SUCCESSES_PER_RETRY
+    return True
--- /dev/null
+++ b/balsamshed/limits/tests/test_limiter.py
@@ -0,0 +1,119 @@
+"""Guards against limits that starve a service or let queues grow."""
+
+from math import inf
+
+import pytest
+
+from balsamshed.configuration.resources import ListenerKind
+from balsamshed.limits.limiter import (
+    ADMITTED,
+    REFUSED_BY_LIMIT,
+    Outcome,
+    admit,
+    adopt,
+    create_limiter,
+    release,
+    reset_limiter,
+)
+
+
+def make_limiter(owned_slots=1.75, kind=ListenerKind.REQUEST):
+    return create_limiter(kind, owned_slots)
+
+
+def run_requests(limiter, duration, count, start=0.0):
+    """Run requests one after another, with the limit always in use."""
+    now = start
+    for _request in range(count):
+        is_admitted = True
+        while is_admitted:
+            is_admitted = admit(limiter, now) is ADMITTED
+        now += duration / limiter.limit
+        release(limiter, duration, Outcome.FINISHED, now)
+    return now
+
+
+def test_first_limit_is_twice_the_share_of_slots():
+    """A new owner must neither flood its backend servers nor idle them."""
+    limiter = make_limiter()
+    outcomes = [admit(limiter, 0) for _flow in range(4)]
+    assert outcomes == [ADMITTED, ADMITTED, ADMITTED, REFUSED_BY_LIMIT]
+    assert limiter.open_count == 3
+
+
+def test_limit_never_falls_below_one():
+    """A route must always be able to find out that the overload is over."""
+    limiter = make_limiter(owned_slots=0.01)
+    for second in range(100):
+        assert admit(limiter, second) is ADMITTED
+        release(limiter, 0.01, Outcome.SHED, second)
+    assert limiter.limit == 1
+
+
+def test_limit_rises_while_durations_are_short():
+    """A service with free slots must not be held at its first limit."""
+    limiter = make_limiter()
+    run_requests(limiter, 0.04, 500)
+    assert limiter.limit > 10
+
+
+def test_limit_falls_when_durations_double():
+    """Queues at the backend servers must not grow with the callers."""
+    limiter = make_limiter(owned_slots=10)
+    now = run_requests(limiter, 0.04, 20)
+    limit = limiter.limit
+    run_requests(limiter, 0.1, 40, now)
+    assert limiter.limit < 0.7 * limit
+
+
+def test_changed_service_time_is_learned():
+    """A release that is three times slower must not be limited forever."""
+    limiter = make_limiter(owned_slots=4)
+    now = run_requests(limiter, 0.04, 50)
+    now = run_requests(limiter, 0.12, 2000, now)
+    assert limiter.lowest_duration > 0.06
+    assert limiter.limit > 4
+
+
+def test_sheds_of_one_moment_decrease_the_limit_once():
+    """One full queue must not take the limit down to one."""
+    limiter = make_limiter(owned_slots=10)
+    for _flow in range(10):
+        admit(limiter, 5)
+        release(limiter, 0.001, Outcome.SHED, 5)
+    assert limiter.limit == pytest.approx(16)
+
+
+def test_feeds_are_limited_only_after_sheds():
+    """Feeds must not be limited by how long they live."""
+    limiter = make_limiter(kind=ListenerKind.FEED)
+    for _feed in range(2000):
+        assert admit(limiter, 0) is ADMITTED
+    release(limiter, 86400, Outcome.FINISHED, 0)
+    assert limiter.limit == inf
+    release(limiter, 0.001, Outcome.SHED, 10)
+    assert limiter.limit == 1998
+    assert admit(limiter, 10) is REFUSED_BY_LIMIT
+    assert admit(limiter, 11) is ADMITTED
+
+
+def test_cancelled_and_unknown_flows_free_their_place():
+    """Callers that give up must not use up the limit."""
+    limiter = make_limiter()
+    limit = limiter.limit
+    for outcome in (Outcome.CANCELLED, Outcome.UNKNOWN):
+        admit(limiter, 0)
+        release(limiter, 0.5, outcome, 1)
+    assert limiter.open_count == 0
+    assert limiter.limit == limit
+
+
+def test_reset_keeps_open_flows():
+    """A pause must not make the count of open flows wrong."""
+    limiter = make_limiter()
+    adopt(limiter)
+    run_requests(limiter, 0.04, 100)
+    count = limiter.open_count
+    reset_limiter(limiter, 1.75)
+    assert limiter.limit == 3.5
+    assert limiter.open_count == count
