--- a/balsamshed/configuration/parsing.py
+++ b/balsamshed/configuration/parsing.py
@@ -1,15 +1,11 @@
 """Checks of declared resources."""
 
-import json
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import datetime
 from ipaddress import IPv4Address
 from types import MappingProxyType
-from typing import Any, Final, cast
-
-from jsonschema import Draft202012Validator
-from jsonschema.exceptions import ValidationError
+from typing import Any, Final
 
 from balsamshed.configuration.resources import (
     BackendServer,
@@ -25,10 +21,9 @@
     SERVICE_SCHEMA,
 )
 from balsamshed.findings import Finding
+from balsamshed.schemas import find_faults
 
 _DEFAULT_DEADLINE_SECONDS: Final = 5.0
-# Their messages name the key, which the schema's description cannot.
-_STRUCTURAL_RULES: Final = frozenset(('additionalProperties', 'required'))
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,36 +42,6 @@
     findings: tuple[Finding, ...]
 
 
-def find_faults(
-    schema: Mapping[str, Any],
-    document: object,
-) -> tuple[Finding, ...]:
-    """Compare a JSON document with a schema.
-
-    Parameters
-    ----------
-    schema : mapping
-        JSON schema, draft 2020-12.
-    document : object
-        Decoded JSON document.
-
-    Returns
-    -------
-    tuple of Finding
-        Every fault, ordered by place; empty if there is none.
-    """
-    validator = Draft202012Validator(
-        schema,
-        format_checker=Draft202012Validator.FORMAT_CHECKER,
-    )
-    return tuple(
-        sorted(
-            map(_describe_fault, validator.iter_errors(document)),
-            key=_get_place,
-        ),
-    )
-
-
 def parse_resource(key: str, spec: object) -> Resource | Rejection:
     """Check the specification of an object.
 
@@ -122,18 +87,6 @@
     return datetime.fromisoformat(text).timestamp()
 
 
-def _describe_fault(error: ValidationError) -> Finding:
-    allowed = error.message
-    if error.validator not in _STRUCTURAL_RULES:
-        allowed = cast(dict[str, str], error.schema).get('description', allowed)
-    found = json.dumps(error.instance, default=str)
-    return Finding(error.json_path, found[:200], allowed)
-
-
-def _get_place(finding: Finding) -> str:
-    return finding.place
-
-
 def _find_duplicate_ports(spec: Mapping[str, Any]) -> list[Finding]:
     findings = []
     seen: set[int] = set()
--- a/balsamshed/configuration/schemas.py
+++ b/balsamshed/configuration/schemas.py
@@ -6,6 +6,8 @@
 
 #: At most this many quiet periods for one backend server.
 MAX_QUIET_PERIODS: Final = 64
+#: One year. An integer of any size would overflow the period arithmetic.
+MAX_PERIOD_SECONDS: Final = 31_536_000
 #: At most this many listeners for one service.
 MAX_LISTENERS: Final = 16
 
@@ -75,17 +77,23 @@
                 r'([01]\d|2[0-3]):[0-5]\d:[0-5]\d(\.\d{1,6})?'
                 r'(Z|[+-]\d\d:\d\d)$'
             ),
+            # The pattern alone lets 30 February through.
+            'format': 'wall-time',
             'description': 'a time such as 2026-12-04T20:00:00Z',
         },
         'duration_seconds': {
             'type': 'number',
             'exclusiveMinimum': 0,
-            'description': 'a number over 0',
+            'maximum': MAX_PERIOD_SECONDS,
+            'description': f'a number over 0 and up to {MAX_PERIOD_SECONDS}',
         },
         'repeat_seconds': {
             'type': 'number',
             'minimum': 0,
-            'description': 'a number, 0 for a single period',
+            'maximum': MAX_PERIOD_SECONDS,
+            'description': (
+                f'a number up to {MAX_PERIOD_SECONDS}, 0 for a single period'
+            ),
         },
     },
 )
--- /dev/null
+++ b/balsamshed/documents.py
@@ -0,0 +1,153 @@
+"""JSON documents from files, with findings for what is not valid JSON."""
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final, NoReturn
+
+from balsamshed.findings import Finding
+from balsamshed.schemas import describe_value, join_place
+
+#: Larger files are not read: the store takes objects of at most 1 MB, and
+#: a file of objects for ``apply`` may hold some of them.
+MAX_FILE_BYTES: Final = 16_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """A decoded JSON document.
+
+    Parameters
+    ----------
+    content : object
+        The decoded value.
+    """
+
+    content: Any
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentRejection:
+    """Sentinel for a file that is not a valid JSON document.
+
+    Parameters
+    ----------
+    file : str
+        Name of the file.
+    findings : tuple of Finding
+        Every fault, at least one.
+    """
+
+    file: str
+    findings: tuple[Finding, ...]
+
+
+class _Pairs(dict[str, Any]):
+    """JSON object that remembers the keys that occur twice."""
+
+    repeated: tuple[str, ...] = ()
+
+
+def read_document(path: str | Path) -> Document | DocumentRejection:
+    """Read a JSON file.
+
+    Parameters
+    ----------
+    path : str or Path
+        The file, UTF-8.
+
+    Returns
+    -------
+    Document or DocumentRejection
+        The document, or the findings for an unreadable file, text that is
+        not JSON (with line and column) and keys that occur twice.
+    """
+    file = str(path)
+    try:
+        raw = _read_bytes(Path(path))
+    except OSError as error:
+        finding = Finding('file', error.strerror or '', 'a readable file')
+        return DocumentRejection(file, (finding,))
+    if len(raw) > MAX_FILE_BYTES:
+        finding = Finding(
+            'file',
+            f'more than {MAX_FILE_BYTES} bytes',
+            f'up to {MAX_FILE_BYTES} bytes',
+        )
+        return DocumentRejection(file, (finding,))
+    return parse_document(file, raw)
+
+
+def parse_document(file: str, raw: bytes) -> Document | DocumentRejection:
+    """Decode a JSON text.
+
+    Parameters
+    ----------
+    file : str
+        Name for the findings.
+    raw : bytes
+        The text, UTF-8.
+
+    Returns
+    -------
+    Document or DocumentRejection
+        As for `read_document`.
+    """
+    try:
+        content = _decode(raw)
+    except json.JSONDecodeError as error:
+        place = f'line {error.lineno}, column {error.colno}'
+        excerpt = error.doc[error.pos : error.pos + 20]
+        finding = Finding(place, describe_value(excerpt), f'JSON ({error.msg})')
+        return DocumentRejection(file, (finding,))
+    except UnicodeDecodeError as error:
+        finding = Finding(f'byte {error.start}', 'no UTF-8', 'JSON in UTF-8')
+        return DocumentRejection(file, (finding,))
+    except (ValueError, RecursionError) as error:
+        finding = Finding('$', describe_value(str(error)), 'standard JSON')
+        return DocumentRejection(file, (finding,))
+    repeated = tuple(_find_repeated('$', content))
+    return DocumentRejection(file, repeated) if repeated else Document(content)
+
+
+def _read_bytes(path: Path) -> bytes:
+    with path.open('rb') as stream:
+        return stream.read(MAX_FILE_BYTES + 1)
+
+
+def _decode(raw: bytes) -> Any:
+    return json.loads(
+        raw.decode('utf-8-sig'),
+        object_pairs_hook=_collect_pairs,
+        parse_constant=_refuse_constant,
+    )
+
+
+def _refuse_constant(text: str) -> NoReturn:
+    raise ValueError(f'{text} is no JSON number')
+
+
+def _collect_pairs(pairs: list[tuple[str, Any]]) -> _Pairs:
+    collected = _Pairs(pairs)
+    if len(collected) < len(pairs):
+        keys = [key for key, _entry in pairs]
+        collected.repeated = tuple(
+            key for key in collected if keys.count(key) > 1
+        )
+    return collected
+
+
+def _find_repeated(place: str, content: object) -> Iterator[Finding]:
+    if isinstance(content, _Pairs):
+        for key in content.repeated:
+            yield Finding(
+                join_place(place, key),
+                'the key more than once',
+                'each key once',
+            )
+        for key, part in content.items():
+            yield from _find_repeated(join_place(place, key), part)
+    elif isinstance(content, list):
+        for position, part in enumerate(content):
+            yield from _find_repeated(f'{place}[{position}]', part)
--- /dev/null
+++ b/balsamshed/schemas.py
@@ -0,0 +1,175 @@
+"""Comparison of JSON documents with JSON schemas (draft 2020-12)."""
+
+import json
+import re
+from collections.abc import Iterator, Mapping
+from datetime import datetime
+from functools import lru_cache
+from typing import Any, Final, cast
+from urllib.parse import urlsplit
+
+from jsonschema import Draft202012Validator, FormatChecker
+from jsonschema.exceptions import ValidationError
+from jsonschema.validators import extend
+
+from balsamshed.findings import Finding
+
+#: Longest excerpt of a value in a finding, in characters.
+MAX_FOUND_LENGTH: Final = 200
+
+_CHECKER: Final = FormatChecker(('ipv4',))
+
+
+def find_faults(
+    schema: Mapping[str, Any],
+    document: object,
+) -> tuple[Finding, ...]:
+    """Compare a JSON document with a schema.
+
+    Parameters
+    ----------
+    schema : mapping
+        JSON schema, draft 2020-12. Besides the standard formats it may use
+        ``wall-time`` (RFC 3339 with an offset) and ``http-url``.
+    document : object
+        Decoded JSON document.
+
+    Returns
+    -------
+    tuple of Finding
+        Every fault, ordered by place; empty if there is none. A missing or
+        unknown key is a finding at the place of the key itself.
+    """
+    validator = _Validator(schema, format_checker=_CHECKER)
+    findings: list[Finding] = []
+    for error in validator.iter_errors(document):
+        findings.extend(_describe_fault(error))
+    return tuple(sorted(set(findings), key=_get_order))
+
+
+def describe_value(value: object) -> str:
+    """Return the JSON text of a value, shortened for a message."""
+    text = json.dumps(value, default=str)
+    if len(text) > MAX_FOUND_LENGTH:
+        return f'{text[:MAX_FOUND_LENGTH]}...'
+    return text
+
+
+def join_place(parent: str, key: str) -> str:
+    """Return the JSON path of a key of an object."""
+    if re.fullmatch('[A-Za-z_][A-Za-z0-9_]*', key):
+        return f'{parent}.{key}'
+    return f'{parent}[{json.dumps(key)}]'
+
+
+@_CHECKER.checks('wall-time')
+def is_wall_time(instance: object) -> bool:
+    """Tell whether a text is an existing time with an offset from UTC."""
+    if not isinstance(instance, str):
+        return True
+    try:
+        return datetime.fromisoformat(instance).tzinfo is not None
+    except ValueError:
+        return False
+
+
+@_CHECKER.checks('http-url')
+def is_http_url(instance: object) -> bool:
+    """Tell whether a text is an ``http`` address without query or user."""
+    if not isinstance(instance, str):
+        return True
+    if not re.fullmatch('http://[!-~]+', instance):
+        return False
+    return _has_plain_authority(instance)
+
+
+def _has_plain_authority(url: str) -> bool:
+    try:
+        parts = urlsplit(url)
+        port = parts.port
+    except ValueError:
+        return False
+    if port == 0 or not parts.hostname or '@' in parts.netloc:
+        return False
+    return not parts.query and not parts.fragment
+
+
+def _describe_fault(error: ValidationError) -> Iterator[Finding]:
+    schema = cast(dict[str, Any], error.schema)
+    if error.validator == 'required':
+        yield from _describe_missing(error, schema)
+    elif error.validator == 'additionalProperties':
+        yield from _describe_unknown(error, schema)
+    else:
+        yield Finding(
+            error.json_path,
+            describe_value(error.instance),
+            schema.get('description', error.message),
+        )
+
+
+def _describe_missing(
+    error: ValidationError,
+    schema: Mapping[str, Any],
+) -> Iterator[Finding]:
+    instance = cast(dict[str, Any], error.instance)
+    for key in schema['required']:
+        if key not in instance:
+            part = schema.get('properties', {}).get(key, {})
+            yield Finding(
+                join_place(error.json_path, key),
+                'nothing',
+                part.get('description', 'a value'),
+            )
+
+
+def _describe_unknown(
+    error: ValidationError,
+    schema: Mapping[str, Any],
+) -> Iterator[Finding]:
+    known = schema.get('properties', {})
+    for key, entry in cast(dict[str, Any], error.instance).items():
+        if key not in known:
+            yield Finding(
+                join_place(error.json_path, key),
+                describe_value(entry),
+                f'only the keys {", ".join(sorted(known))}',
+            )
+
+
+def _get_order(finding: Finding) -> tuple[str, str]:
+    return finding.place, finding.allowed
+
+
+@lru_cache(maxsize=256)
+def _compile_to_the_end(pattern: str) -> re.Pattern[str]:
+    # "$" of Python also matches before a final newline, in JSON schemas it
+    # matches only at the end; "\d" there means ASCII digits.
+    return re.compile(re.sub(r'\$$', r'\\Z', pattern), re.ASCII)
+
+
+def _check_pattern(
+    _validator: object,
+    pattern: str,
+    instance: object,
+    _schema: object,
+) -> Iterator[ValidationError]:
+    if not isinstance(instance, str):
+        return
+    if not _compile_to_the_end(pattern).search(instance):
+        yield ValidationError(f'{instance!r} does not match {pattern!r}')
+
+
+def _is_integer(_checker: object, instance: object) -> bool:
+    # The draft takes 80.0 for an integer; a port has to be an int.
+    return isinstance(instance, int) and not isinstance(instance, bool)
+
+
+_Validator = extend(
+    Draft202012Validator,
+    validators={'pattern': _check_pattern},
+    type_checker=Draft202012Validator.TYPE_CHECKER.redefine(
+        'integer',
+        _is_integer,
+    ),
+)
