Write events as lines of key=value pairs

Cause: operators and tests read the log by field. Change: log_event writes one line through absl.logging, parse_line reads it back, and create_event_log limits lines of one event name and states in the next line how many were left out. Conclusion: a property test covers the round trip; nothing measured.

--- /dev/null
+++ b/balsamshed/logs/tests/test_events.py
@@ -0,0 +1,99 @@
+"""Guards against log lines that cannot be read back and against floods."""
+
+import pytest
+from absl import logging
+from hypothesis import given
+from hypothesis import strategies as st
+
+from balsamshed.logs.events import (
+    EventLimiter,
+    admit_event,
+    create_event_log,
+    log_event,
+)
+from balsamshed.logs.lines import format_line, format_value, parse_line
+
+KEYS = st.from_regex('[a-z_][a-z0-9_]{0,8}', fullmatch=True)
+VALUES = st.one_of(
+    st.text(),
+    st.text('="\\ \n', max_size=6),
+    st.integers(),
+    st.floats(),
+    st.booleans(),
+    st.none(),
+    st.binary(max_size=8),
+)
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    written = []
+    monkeypatch.setattr(
+        logging,
+        'info',
+        lambda pattern, *parts: written.append(pattern % parts),
+    )
+    return written
+
+
+@given(st.dictionaries(KEYS, VALUES))
+def test_a_line_parses_back(fields):
+    """A value with quotes or newlines must not fake other fields or lines."""
+    line = format_line(fields)
+    assert len(line.splitlines()) <= 1
+    assert parse_line(line) == {
+        key: format_value(entry) for key, entry in fields.items()
+    }
+
+
+@given(st.text())
+def test_other_text_is_refused_or_parsed_but_never_loops(text):
+    """Foreign lines in a log file must not stop a reader."""
+    try:
+        assert isinstance(parse_line(text), dict)
+    except ValueError:
+        return
+
+
+@pytest.mark.parametrize('line', ['a', 'a=1  b=2', 'a="x', 'a=1=2', '=1'])
+def test_broken_lines_raise(line):
+    """A damaged line must not be taken for a shorter one."""
+    with pytest.raises(ValueError, match='column|string'):
+        parse_line(line)
+
+
+def test_fields_cannot_replace_time_or_event(lines):
+    """A field named like a fixed key must not hide the event's name."""
+    log_event('flow_refused', event='x', time=3, name='b1')
+    fields = parse_line(lines[0])
+    assert fields['event'] == 'flow_refused'
+    assert (fields['event_'], fields['time_'], fields['name']) == (
+        'x',
+        '3',
+        'b1',
+    )
+
+
+def test_repeated_events_are_limited_and_counted(lines):
+    """A flood of one event must neither fill the log nor go unseen."""
+    now = [0.0]
+    log = create_event_log(EventLimiter(1.0, 2), lambda: now[0])
+    for _attempt in range(5):
+        log('store_failed', call='list')
+    log('member_joined')
+    assert len(lines) == 3
+    now[0] = 1.0
+    log('store_failed', call='list')
+    log('store_failed', call='list')
+    assert parse_line(lines[3])['left_out'] == '3'
+    assert 'left_out' not in parse_line(lines[4])
+
+
+@given(st.lists(st.floats(0, 10), max_size=60).map(sorted))
+def test_no_event_is_lost_from_the_count(times):
+    """Lines and left-out counts together must equal the events."""
+    limiter = EventLimiter(1.0, 2)
+    outcomes = [admit_event(limiter, 'e', now) for now in times]
+    written = [count + 1 for count in outcomes if count is not None]
+    pending = limiter.windows['e'].left_out if times else 0
+    assert sum(written) + pending == len(times)
