Show metrics and health over HTTP

Cause: operators and the platform need counters, health and readiness of each balancer. Change: create_metrics counts events by name and copies the counts into aioprometheus when they are rendered; a Twisted site shows /metrics, /healthz and /readyz. Label values are escaped here, since the renderer of aioprometheus writes them as they are. Ruled out: counters of aioprometheus on the packet path, since each one encodes its labels as JSON for every event.

--- /dev/null
+++ b/balsamshed/front_ends/tests/test_metrics.py
@@ -0,0 +1,147 @@
+"""Guards against metrics that lie, break the format or slow packets down."""
+
+import re
+import subprocess
+import sys
+import timeit
+
+import pytest
+from treq.testing import StubTreq
+
+from balsamshed.front_ends.metrics import (
+    COUNTERS,
+    EVENT_COUNTERS,
+    GAUGES,
+    create_metrics,
+    create_metrics_site,
+)
+
+SAMPLE = re.compile(
+    r'[a-z_]+(\{[a-z_]+="([^"\\\n]|\\["\\n])*"'
+    r'(,[a-z_]+="([^"\\\n]|\\["\\n])*")*\})? -?[0-9.e+-]+',
+)
+
+
+def render(metrics):
+    text, content_type = metrics.render()
+    assert content_type.startswith(b'text/plain; version=0.0.4')
+    return text.decode()
+
+
+def read(resource, path, method='GET'):
+    treq = StubTreq(resource)
+    response = treq.request(method, f'http://balancer{path}')
+    response = treq_result(response)
+    return response.code, treq_result(treq.content(response))
+
+
+def treq_result(deferred):
+    outcome = []
+    deferred.addCallback(outcome.append)
+    return outcome[0]
+
+
+def test_events_are_counted_with_their_label():
+    """An event must show under the counter that the reference names."""
+    metrics = create_metrics()
+    metrics.count_event('packet_relayed')
+    metrics.count_event('packet_relayed')
+    metrics.count_event('control_bytes_sent', 120)
+    metrics.count_drop('no_route')
+    metrics.set_gauge('balsamshed_concurrency_limit', 7, listener='creneau/a')
+    text = render(metrics)
+    assert 'balsamshed_packets_total{path="relayed"} 2\n' in text
+    assert 'balsamshed_packets_total{path="forwarded"} 0\n' in text
+    assert 'balsamshed_control_bytes_total{direction="sent"} 120\n' in text
+    assert 'balsamshed_packets_dropped_total{reason="no_route"} 1\n' in text
+    assert 'balsamshed_concurrency_limit{listener="creneau/a"} 7\n' in text
+    metrics.count_event('packet_relayed')
+    assert 'balsamshed_packets_total{path="relayed"} 3\n' in render(metrics)
+
+
+def test_unlisted_events_are_not_lost():
+    """An event without a counter of its own must still be visible."""
+    metrics = create_metrics()
+    metrics.count_event('surprise')
+    assert 'balsamshed_events_total{event="surprise"} 1\n' in render(metrics)
+
+
+def test_unlisted_gauges_raise():
+    """A misspelt gauge must fail in a test, not vanish."""
+    with pytest.raises(KeyError, match='balsamshed_members_alive'):
+        create_metrics().set_gauge('balsamshed_members_alive', 1)
+
+
+def test_text_keeps_the_exposition_format():
+    """A label with quotes or newlines must not break the whole page."""
+    metrics = create_metrics()
+    metrics.count_drop('odd "reason"\n\\')
+    metrics.set_gauge('balsamshed_cpu_seconds', 0.25)
+    lines = render(metrics).splitlines()
+    samples = [line for line in lines if not line.startswith('# ')]
+    assert len(samples) > len(EVENT_COUNTERS)
+    assert [line for line in samples if not SAMPLE.fullmatch(line)] == []
+
+
+def test_names_follow_the_prometheus_conventions():
+    """Dashboards rely on the suffixes for counters and units."""
+    assert all(name.endswith('_total') for name in COUNTERS)
+    assert not any(name.endswith('_total') for name in GAUGES)
+    for name in (*COUNTERS, *GAUGES):
+        assert re.fullmatch('balsamshed_[a-z_]+', name)
+        assert '_milliseconds' not in name
+    assert {name for name, _labels in EVENT_COUNTERS.values()} <= set(COUNTERS)
+
+
+def test_sets_of_metrics_are_independent():
+    """Two balancers in one process must not add up."""
+    first = create_metrics()
+    first.count_event('flow_reset')
+    assert 'balsamshed_flows_reset_total 0\n' in render(create_metrics())
+
+
+def test_counting_is_cheap_enough_for_the_packet_path():
+    """A counter of aioprometheus would cost as much as a whole packet."""
+    count_event = create_metrics().count_event
+    calls = 20_000
+    seconds = min(
+        timeit.repeat(
+            "count_event('packet_relayed')",
+            globals={'count_event': count_event},
+            number=calls,
+            repeat=25,
+        )
+    )
+    assert seconds / calls < 0.3e-6
+
+
+def test_importing_starts_no_asyncio_loop():
+    """A second event loop would break the rule of one loop."""
+    program = (
+        'import asyncio\n'
+        'def refuse(*parts): raise SystemExit(3)\n'
+        'asyncio.new_event_loop = asyncio.get_event_loop = refuse\n'
+        'asyncio.set_event_loop = refuse\n'
+        'from balsamshed.front_ends.metrics import create_metrics\n'
+        'create_metrics().render()\n'
+        'import threading\n'
+        'assert threading.active_count() == 1\n'
+        'assert asyncio._get_running_loop() is None\n'
+    )
+    subprocess.run((sys.executable, '-c', program), check=True, timeout=20)
+
+
+def test_pages_of_the_metrics_port():
+    """The platform decides by these pages whether a balancer gets packets."""
+    ready = [False]
+    metrics = create_metrics()
+    root = create_metrics_site(metrics, lambda: ready[0]).resource
+    assert read(root, '/healthz') == (200, b'ok\n')
+    assert read(root, '/readyz') == (503, b'not ready\n')
+    ready[0] = True
+    assert read(root, '/readyz') == (200, b'ready\n')
+    code, text = read(root, '/metrics')
+    assert code == 200
+    assert text == metrics.render()[0]
+    assert read(root, '/other')[0] == 404
+    assert read(root, '/metrics', 'POST')[0] == 405
