Write objects conditionally and read them back after lost responses

Cause: the object API may take a write and lose its response, and operators race on the same objects. Change: change entries inside a body (last 16 kept); the decisions of a conditional write as a function from response to next step; a client of the object API on treq with a time limit and a size limit for every call and failures as values. A conflict names the version that came first, who wrote it and when. A late first attempt and its repetition have the same condition, so at most one takes effect. Ruled out: repeating a write at once after a lost response, since the store would refuse it because of the own first attempt; a conflict report after 16 further changes, since the own change can then no longer be told apart: that is reported as a failure that may have taken effect.

--- /dev/null
+++ b/balsamshed/audit/tests/test_entries.py
@@ -0,0 +1,58 @@
+"""Guards against changes without an entry and entries that get lost."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from balsamshed.audit.entries import (
+    MAX_CHANGES,
+    ChangeEntry,
+    append_change,
+    list_versions,
+    read_changes,
+)
+
+
+def make_entry(number, from_version=0):
+    return ChangeEntry(f'c{number}', 'ada', 'now', from_version, 'apply')
+
+
+@given(st.integers(0, 40))
+def test_the_last_entries_are_kept_in_order(count):
+    """A trimmed list must lose the oldest entries, never the newest."""
+    body = {'spec': {'a': 1}}
+    entries = [make_entry(number) for number in range(count)]
+    for entry in entries:
+        body = json.loads(json.dumps(append_change(body, entry)))
+    assert read_changes(body) == tuple(entries[-MAX_CHANGES:])
+    assert body['spec'] == {'a': 1}
+
+
+def test_the_given_body_is_not_changed():
+    """A body that is shared with the catalog must stay as it is."""
+    body = {'changes': []}
+    append_change(body, make_entry(1))
+    assert body == {'changes': []}
+
+
+@given(
+    st.recursive(
+        st.none() | st.integers() | st.text(max_size=3),
+        lambda part: st.lists(part) | st.dictionaries(st.text(), part),
+    ),
+)
+def test_entries_of_another_form_are_left_out(changes):
+    """A body written by another tool must not stop the command line."""
+    assert read_changes({'changes': changes}) == ()
+    body = append_change({'changes': changes}, make_entry(1))
+    assert read_changes(body) == (make_entry(1),)
+
+
+def test_versions_follow_from_the_next_change():
+    """The history must name the version of each change."""
+    body = {}
+    for number, from_version in enumerate((0, 3, 8)):
+        body = append_change(body, make_entry(number, from_version))
+    versions = [change.version for change in list_versions(12, body)]
+    assert versions == [3, 8, 12]
--- /dev/null
+++ b/balsamshed/front_ends/store_client.py
@@ -0,0 +1,467 @@
+"""HTTP client of the object API."""
+
+import json
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Any, Final, TypeVar
+from urllib.parse import quote
+
+from treq.client import HTTPClient
+from twisted.internet import error
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import Protocol
+from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
+from twisted.web.client import (
+    Agent,
+    HTTPConnectionPool,
+    PotentialDataLoss,
+    ResponseDone,
+)
+from twisted.web.iweb import IResponse
+
+from balsamshed.platform.requests import (
+    PutObject,
+    PutResponse,
+    ReadObject,
+    ReadResponse,
+    WriteOutcome,
+    WriteRequest,
+    WriteStep,
+    decide_step,
+    start_write,
+)
+from balsamshed.platform.responses import (
+    FailureReason,
+    Listing,
+    ObjectMissing,
+    PutAccepted,
+    PutRefused,
+    StoreFailure,
+    VmEntry,
+    parse_listing,
+    parse_record,
+    parse_version,
+    parse_vms,
+)
+
+#: Time limit of a call other than a watch, in seconds. The store responds in
+#: milliseconds; a connection that went silent is given up after this time.
+CALL_SECONDS: Final = 2.0
+#: Largest accepted response with a list, in bytes.
+MAX_LIST_BYTES: Final = 4_000_000
+#: Largest accepted response with one object, and largest body, in bytes.
+MAX_OBJECT_BYTES: Final = 1_000_000
+
+# A response with one object has a few bytes around the body.
+_ENVELOPE_BYTES: Final = 2_000
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_GONE: Final = 410
+_PRECONDITION_FAILED: Final = 412
+_PAYLOAD_TOO_LARGE: Final = 413
+_TOO_MANY_REQUESTS: Final = 429
+_UNAVAILABLE: Final = 503
+_NOT_CONNECTED: Final = (
+    error.ConnectError,
+    error.DNSLookupError,
+    error.UnsupportedAddressFamily,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class StoreClient:
+    """Calls of the object API.
+
+    Each function returns a Deferred that never fails: without a usable
+    response its result is a `StoreFailure` or a `WriteFailure`.
+
+    Parameters
+    ----------
+    list_objects : callable
+        ``list_objects(prefix)`` gives a `Listing`.
+    read_object : callable
+        ``read_object(key)`` gives a `Record` or `ObjectMissing`.
+    put_object : callable
+        ``put_object(key, body, expected_version)`` makes one attempt and
+        gives `PutAccepted` or `PutRefused`.
+    write_object : callable
+        ``write_object(key, body, expected_version, change_id, seconds)``
+        tries and reads back for that many seconds and gives a
+        `WriteOutcome`.
+    watch_objects : callable
+        ``watch_objects(prefix, since, timeout_ms)`` gives a `Listing`,
+        empty after the timeout. It is given up after twice the timeout.
+    list_vms : callable
+        ``list_vms()`` gives a tuple of `VmEntry`.
+    """
+
+    list_objects: Callable[[str], Deferred[Listing | StoreFailure]]
+    read_object: Callable[[str], Deferred[ReadResponse]]
+    put_object: Callable[
+        [str, Mapping[str, Any], int],
+        Deferred[PutResponse],
+    ]
+    write_object: Callable[
+        [str, Mapping[str, Any], int, str, float],
+        Deferred[WriteOutcome],
+    ]
+    watch_objects: Callable[
+        [str, int, int],
+        Deferred[Listing | StoreFailure],
+    ]
+    list_vms: Callable[[], Deferred[tuple[VmEntry, ...] | StoreFailure]]
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    call: str
+    code: int
+    text: bytes
+
+
+_Parsed = TypeVar('_Parsed')
+_Exchange = Callable[..., Deferred[_Reply | StoreFailure]]
+_Call = Callable[..., Awaitable[Any]]
+
+
+def create_http(reactor: Any) -> HTTPClient:
+    """Create an HTTP client that keeps connections open between calls."""
+    pool = HTTPConnectionPool(reactor)
+    return HTTPClient(Agent(reactor, pool=pool, connectTimeout=CALL_SECONDS))
+
+
+def create_store_client(
+    url: str,
+    http: HTTPClient,
+    clock: IReactorTime,
+    call_seconds: float = CALL_SECONDS,
+    draw_jitter: Callable[[], float] = random.random,
+) -> StoreClient:
+    """Create the calls of one object store.
+
+    Parameters
+    ----------
+    url : str
+        Address of the object API, ``http://host:port``.
+    http : HTTPClient
+        From `create_http`, or one for tests.
+    clock : IReactorTime
+        The reactor, or a clock for tests.
+    call_seconds : float
+        Time limit of each call other than a watch.
+    draw_jitter : callable
+        Returns a random number from 0 to 1.
+
+    Returns
+    -------
+    StoreClient
+        The calls.
+    """
+    exchange = _create_exchange(url.rstrip('/'), http, clock)
+    list_objects, watch_objects, list_vms = _create_list_calls(
+        exchange,
+        call_seconds,
+    )
+    read_object, put_object = _create_object_calls(exchange, call_seconds)
+    write_object = _create_writer(read_object, put_object, clock, draw_jitter)
+    return StoreClient(
+        list_objects=_defer(list_objects),
+        read_object=_defer(read_object),
+        put_object=_defer(put_object),
+        write_object=_defer(write_object),
+        watch_objects=_defer(watch_objects),
+        list_vms=_defer(list_vms),
+    )
+
+
+def _create_list_calls(
+    exchange: _Exchange,
+    call_seconds: float,
+) -> tuple[_Call, _Call, _Call]:
+    async def list_objects(prefix: str) -> Listing | StoreFailure:
+        reply = await exchange(
+            'GET',
+            '/v1/objects',
+            call_seconds,
+            MAX_LIST_BYTES,
+            params={'prefix': prefix},
+        )
+        return _decode(reply, parse_listing)
+
+    async def watch_objects(
+        prefix: str,
+        since: int,
+        timeout_ms: int,
+    ) -> Listing | StoreFailure:
+        reply = await exchange(
+            'GET',
+            '/v1/watch',
+            max(2 * timeout_ms / 1000, call_seconds),
+            MAX_LIST_BYTES,
+            params={'prefix': prefix, 'since': since, 'timeout_ms': timeout_ms},
+        )
+        return _decode(reply, parse_listing)
+
+    async def list_vms() -> tuple[VmEntry, ...] | StoreFailure:
+        reply = await exchange('GET', '/v1/vms', call_seconds, MAX_LIST_BYTES)
+        return _decode(reply, parse_vms)
+
+    return list_objects, watch_objects, list_vms
+
+
+def _create_object_calls(
+    exchange: _Exchange,
+    call_seconds: float,
+) -> tuple[_Call, _Call]:
+    async def read_object(key: str) -> ReadResponse:
+        reply = await exchange(
+            'GET',
+            _get_path(key),
+            call_seconds,
+            MAX_OBJECT_BYTES + _ENVELOPE_BYTES,
+        )
+        if isinstance(reply, _Reply) and reply.code == _NOT_FOUND:
+            return ObjectMissing(key)
+        return _decode(reply, parse_record)
+
+    async def put_object(
+        key: str,
+        body: Mapping[str, Any],
+        expected_version: int,
+    ) -> PutResponse:
+        text = json.dumps(body).encode()
+        if len(text) > MAX_OBJECT_BYTES:
+            return StoreFailure(
+                f'PUT {_get_path(key)}',
+                FailureReason.TOO_LARGE,
+                f'{len(text)} bytes, up to {MAX_OBJECT_BYTES} are allowed',
+            )
+        reply = await exchange(
+            'PUT',
+            _get_path(key),
+            call_seconds,
+            _ENVELOPE_BYTES,
+            headers={
+                'If-Match': str(expected_version),
+                'Content-Type': 'application/json',
+            },
+            data=text,
+        )
+        if isinstance(reply, _Reply) and reply.code == _PRECONDITION_FAILED:
+            return _decode(reply, _parse_refused, _PRECONDITION_FAILED)
+        return _decode(reply, _parse_accepted)
+
+    return read_object, put_object
+
+
+def _create_writer(
+    read_object: _Call,
+    put_object: _Call,
+    clock: IReactorTime,
+    draw_jitter: Callable[[], float],
+) -> _Call:
+    async def write_object(
+        key: str,
+        body: Mapping[str, Any],
+        expected_version: int,
+        change_id: str,
+        seconds: float,
+    ) -> WriteOutcome:
+        deadline = clock.seconds() + seconds
+        request = WriteRequest(key, body, expected_version, change_id, deadline)
+        progress = start_write(request)
+        step: WriteStep = PutObject(0)
+        while isinstance(step, PutObject | ReadObject):
+            if step.wait_seconds:
+                await deferLater(clock, step.wait_seconds)
+            if isinstance(step, ReadObject):
+                response = await read_object(key)
+            else:
+                response = await put_object(key, body, expected_version)
+            now = clock.seconds()
+            step = decide_step(request, progress, response, now, draw_jitter())
+        return step
+
+    return write_object
+
+
+def _create_exchange(
+    url: str,
+    http: HTTPClient,
+    clock: IReactorTime,
+) -> _Exchange:
+    async def exchange_unlimited(
+        method: str,
+        path: str,
+        max_bytes: int,
+        **options: Any,
+    ) -> _Reply | StoreFailure:
+        call = f'{method} {path}'
+        try:
+            response = await http.request(
+                method,
+                f'{url}{path}',
+                unbuffered=True,
+                allow_redirects=False,
+                **options,
+            )
+        except Exception as failed:
+            return StoreFailure(call, _get_reason(failed), str(failed))
+        try:
+            text = await _read_text(response, max_bytes)
+        except Exception as failed:
+            return StoreFailure(call, FailureReason.LOST, str(failed))
+        if text is None:
+            detail = f'the response has more than {max_bytes} bytes'
+            return StoreFailure(call, _OVERFLOW_REASONS[method], detail)
+        return _Reply(call, response.code, text)
+
+    def exchange(
+        method: str,
+        path: str,
+        seconds: float,
+        max_bytes: int,
+        **options: Any,
+    ) -> Deferred[_Reply | StoreFailure]:
+        def report_timeout(_outcome: object, _seconds: float) -> StoreFailure:
+            return StoreFailure(
+                f'{method} {path}',
+                FailureReason.TIMED_OUT,
+                f'no complete response within {seconds:g} s',
+            )
+
+        pending = Deferred.fromCoroutine(
+            exchange_unlimited(method, path, max_bytes, **options),
+        )
+        pending.addTimeout(seconds, clock, report_timeout)
+        return pending
+
+    return exchange
+
+
+class _TextCollector(Protocol):
+    """Collects a response up to a limit."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self.done: Deferred[bytes | None] = Deferred(self._cancel)
+        self._free_bytes = max_bytes
+        self._parts: list[bytes] = []
+
+    def dataReceived(self, received: bytes) -> None:  # noqa: N802
+        """Keep a part, or give up at the limit."""
+        self._free_bytes -= len(received)
+        if self._free_bytes >= 0:
+            self._parts.append(received)
+        else:
+            self._finish(None)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Deliver the text if it is complete."""
+        if self.done.called:
+            return
+        if reason.check(ResponseDone, PotentialDataLoss):
+            self.done.callback(b''.join(self._parts))
+        else:
+            self.done.errback(reason)
+
+    def _cancel(self, _done: object) -> None:
+        # A connection that went silent must not return to the pool.
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+    def _finish(self, outcome: bytes | None) -> None:
+        self._parts.clear()
+        if not self.done.called:
+            self.done.callback(outcome)
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+
+def _read_text(response: IResponse, max_bytes: int) -> Deferred[bytes | None]:
+    collector = _TextCollector(max_bytes)
+    response.deliverBody(collector)
+    return collector.done
+
+
+def _decode(
+    reply: _Reply | StoreFailure,
+    parse: Callable[[object], _Parsed | None],
+    expected_code: int = _OK,
+) -> _Parsed | StoreFailure:
+    if isinstance(reply, StoreFailure):
+        return reply
+    if reply.code != expected_code:
+        reason = _get_code_reason(reply.code)
+        return StoreFailure(reply.call, reason, f'status {reply.code}')
+    try:
+        parsed = parse(json.loads(reply.text))
+    except (ValueError, RecursionError):
+        parsed = None
+    if parsed is None:
+        excerpt = repr(reply.text[:60])
+        return StoreFailure(reply.call, FailureReason.BAD_RESPONSE, excerpt)
+    return parsed
+
+
+def _parse_accepted(content: object) -> PutAccepted | None:
+    version = _parse_put(content)
+    return None if version is None else PutAccepted(version)
+
+
+def _parse_refused(content: object) -> PutRefused | None:
+    version = _parse_put(content)
+    return None if version is None else PutRefused(version)
+
+
+def _parse_put(content: object) -> int | None:
+    if not isinstance(content, Mapping):
+        return None
+    return parse_version(content.get('version'))
+
+
+def _get_path(key: str) -> str:
+    return f'/v1/objects/{quote(key)}'
+
+
+def _get_reason(failed: Exception) -> FailureReason:
+    if isinstance(failed, _NOT_CONNECTED):
+        return FailureReason.UNREACHABLE
+    return FailureReason.LOST
+
+
+def _defer(function: Callable[..., Any]) -> Callable[..., Deferred[Any]]:
+    def call(*arguments: Any) -> Deferred[Any]:
+        return Deferred.fromCoroutine(function(*arguments))
+
+    return call
+
+
+def _get_code_reason(code: int) -> FailureReason:
+    if code in _CODE_REASONS:
+        return _CODE_REASONS[code]
+    if code in _CLIENT_ERRORS:
+        return FailureReason.REFUSED
+    return FailureReason.BAD_RESPONSE
+
+
+_CLIENT_ERRORS: Final = range(400, 500)
+_CODE_REASONS: Final = MappingProxyType(
+    {
+        _GONE: FailureReason.TOO_OLD,
+        _PAYLOAD_TOO_LARGE: FailureReason.TOO_LARGE,
+        _TOO_MANY_REQUESTS: FailureReason.OUTAGE,
+        _UNAVAILABLE: FailureReason.OUTAGE,
+    }
+)
+# A write whose response is too long may have taken effect, but TOO_LARGE
+# of a write means that the store refused it.
+_OVERFLOW_REASONS: Final = MappingProxyType(
+    {
+        'GET': FailureReason.TOO_LARGE,
+        'PUT': FailureReason.BAD_RESPONSE,
+    }
+)
--- /dev/null
+++ b/balsamshed/front_ends/tests/test_store_client.py
@@ -0,0 +1,223 @@
+"""Guards against calls without an end, a limit or a stated reason."""
+
+import json
+
+import pytest
+from twisted.web.server import NOT_DONE_YET
+
+from balsamshed.audit.entries import ChangeEntry, append_change
+from balsamshed.commands.tests.fake_store import (
+    DROP,
+    HANG,
+    LOSE,
+    OUTAGE,
+    StoreWorld,
+)
+from balsamshed.front_ends.store_client import (
+    MAX_LIST_BYTES,
+    MAX_OBJECT_BYTES,
+)
+from balsamshed.platform.requests import (
+    WriteAccepted,
+    WriteConflict,
+    WriteFailure,
+)
+from balsamshed.platform.responses import (
+    FailureReason,
+    Listing,
+    ObjectMissing,
+    PutAccepted,
+    PutRefused,
+    StoreFailure,
+    VmEntry,
+)
+
+KEY = 'g/service/creneau'
+
+
+@pytest.fixture
+def world():
+    return StoreWorld()
+
+
+def make_body(change_id='own', from_version=0, who='ada', **spec):
+    entry = ChangeEntry(change_id, who, 'now', from_version, 'apply')
+    return append_change({'spec': spec, 'deleted': False}, entry)
+
+
+def write(world, expected_version=0, seconds=30.0):
+    body = make_body(from_version=expected_version)
+    return world.run(
+        world.client.write_object(
+            KEY,
+            body,
+            expected_version,
+            'own',
+            seconds,
+        )
+    )
+
+
+def test_calls_give_parsed_responses(world):
+    """Each call of the API must arrive as the design page states it."""
+    assert world.run(world.client.read_object(KEY)) == ObjectMissing(KEY)
+    first = world.run(world.client.put_object(KEY, {'spec': 1}, 0))
+    assert first == PutAccepted(1)
+    second = world.run(world.client.put_object(KEY, {'spec': 2}, 0))
+    assert second == PutRefused(1)
+    record = world.run(world.client.read_object(KEY))
+    assert (record.key, record.version, record.body) == (KEY, 1, {'spec': 1})
+    assert world.run(world.client.list_objects('g/')) == Listing(1, (record,))
+    assert world.run(world.client.list_objects('h/')) == Listing(1, ())
+    world.store.vms = [
+        {'name': 'b1', 'data_centre': 'qc-1', 'host': '::', 'control_port': 5},
+        {'name': 3},
+    ]
+    vms = world.run(world.client.list_vms())
+    assert vms == (VmEntry('b1', 'qc-1', '::', 5, leaving=False),)
+
+
+def test_watch_waits_for_a_change_or_the_timeout(world):
+    """A watch must neither miss a change nor wait for ever."""
+    pending = world.client.watch_objects('g/', 0, 1000)
+    world.agent.flush()
+    world.store.write(KEY, {})
+    assert [r.version for r in world.run(pending).records] == [1]
+    empty = world.run(world.client.watch_objects('g/', 1, 1000))
+    assert empty == Listing(1, ())
+    world.store.oldest_revision = 5
+    old = world.run(world.client.watch_objects('g/', 1, 1000))
+    assert old.reason is FailureReason.TOO_OLD
+
+
+def test_silent_watch_is_given_up_after_twice_its_timeout(world):
+    """A connection that went silent for good must not end the updates."""
+    world.store.faults['WATCH'] = [HANG]
+    start = world.clock.seconds()
+    outcome = world.run(world.client.watch_objects('g/', 0, 5000))
+    assert outcome.reason is FailureReason.TIMED_OUT
+    assert world.clock.seconds() - start == pytest.approx(10, abs=0.2)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'reason'),
+    [
+        (OUTAGE, FailureReason.OUTAGE),
+        (DROP, FailureReason.LOST),
+        (LOSE, FailureReason.LOST),
+        (HANG, FailureReason.TIMED_OUT),
+    ],
+)
+def test_failures_are_values_with_a_reason(world, fault, reason):
+    """A fault of the platform must not become an exception."""
+    world.store.faults['GET'] = [fault] * 3
+    for call in (
+        world.client.list_objects('g/'),
+        world.client.read_object(KEY),
+        world.client.list_vms(),
+    ):
+        outcome = world.run(call)
+        assert isinstance(outcome, StoreFailure)
+        assert outcome.reason is reason
+
+
+def respond(world, code, text):
+    def render(request):
+        request.setResponseCode(code)
+        return text
+
+    world.store.render = render
+
+
+@pytest.mark.parametrize(
+    ('code', 'text', 'reason'),
+    [
+        (200, b'{"revision": 1', FailureReason.BAD_RESPONSE),
+        (200, b'[]', FailureReason.BAD_RESPONSE),
+        (200, b'\xff', FailureReason.BAD_RESPONSE),
+        (200, b'[' * 100_000, FailureReason.BAD_RESPONSE),
+        (200, b' ' * (MAX_LIST_BYTES + 1), FailureReason.TOO_LARGE),
+        (500, b'', FailureReason.BAD_RESPONSE),
+        (403, b'', FailureReason.REFUSED),
+        (302, b'', FailureReason.BAD_RESPONSE),
+    ],
+)
+def test_unusable_responses_have_a_reason(world, code, text, reason):
+    """Broken or too long responses must not fill the memory or raise."""
+    respond(world, code, text)
+    assert world.run(world.client.list_objects('g/')).reason is reason
+
+
+def test_list_up_to_the_limit_is_accepted(world):
+    """The limit must not cut off what the design allows."""
+    text = json.dumps({'revision': 1, 'objects': []}).encode()
+    respond(world, 200, text.ljust(MAX_LIST_BYTES))
+    assert world.run(world.client.list_objects('g/')) == Listing(1, ())
+
+
+def test_object_over_the_limit_is_not_read(world):
+    """Objects have a smaller limit than lists."""
+    respond(world, 200, b' ' * (MAX_OBJECT_BYTES + 100_000))
+    outcome = world.run(world.client.read_object(KEY))
+    assert outcome.reason is FailureReason.TOO_LARGE
+
+
+def test_response_that_stops_in_the_middle_times_out(world):
+    """A body that trickles off must fall under the time limit as well."""
+    transports = []
+
+    def render(request):
+        request.setHeader(b'content-length', b'100')
+        request.write(b'{')
+        transports.append(request.transport)
+        return NOT_DONE_YET
+
+    world.store.render = render
+    outcome = world.run(world.client.read_object(KEY))
+    assert outcome.reason is FailureReason.TIMED_OUT
+    world.agent.flush()
+    assert transports[0].disconnecting or transports[0].disconnected
+
+
+@pytest.mark.parametrize('fault', [LOSE, HANG])
+def test_lost_response_is_found_again(world, fault):
+    """A write that took effect must count once and as done."""
+    world.store.faults['PUT'] = [fault]
+    assert write(world) == WriteAccepted(KEY, 1)
+    assert [call for call in world.store.calls if 'PUT' in call] == [
+        f'PUT /v1/objects/{KEY}',
+    ]
+
+
+def test_write_survives_an_outage(world):
+    """A short outage must not reach the operator."""
+    world.store.faults['PUT'] = [OUTAGE, DROP, HANG]
+    world.store.faults['GET'] = [OUTAGE, HANG, LOSE]
+    assert write(world) == WriteAccepted(KEY, 1)
+
+
+def test_conflict_names_who_wrote_the_version(world):
+    """The operator must learn whose change came first."""
+    version = world.store.write(KEY, make_body('other', 0, 'grace'))
+    assert write(world) == WriteConflict(KEY, 0, version, 'grace', 'now')
+    assert world.store.objects[KEY]['version'] == version
+
+
+def test_write_fails_at_its_deadline(world):
+    """A long outage must end with a report, not with silence."""
+    world.store.faults = {'PUT': [OUTAGE] * 99, 'GET': [OUTAGE] * 99}
+    start = world.clock.seconds()
+    outcome = write(world, seconds=5.0)
+    assert isinstance(outcome, WriteFailure)
+    assert outcome.maybe_applied
+    assert world.clock.seconds() - start <= 5.1
+    assert len(world.store.calls) < 12
+
+
+def test_too_large_body_is_not_sent(world):
+    """The store would refuse it after the whole transfer."""
+    body = make_body(filler='x' * MAX_OBJECT_BYTES)
+    outcome = world.run(world.client.write_object(KEY, body, 0, 'own', 5))
+    assert outcome.reason is FailureReason.TOO_LARGE
+    assert not outcome.maybe_applied
+    assert world.store.calls == []
