--- a/testbed/endpoint.py
+++ b/testbed/endpoint.py
@@ -236,13 +236,12 @@
     timer = endpoint.timers.get(key)
     if timer is not None and timer.getTime() <= deadline:
         return
+    if timer is not None:
+        # Twisted's reset to an earlier time searches all pending calls, and
+        # formats the call with all its arguments if it is a recent one.
+        timer.cancel()
     delay = max(deadline - endpoint.clock.seconds(), 0)
-    if timer is None:
-        endpoint.timers[key] = endpoint.clock.callLater(
-            delay, _tick, endpoint, key
-        )
-    else:
-        timer.reset(delay)
+    endpoint.timers[key] = endpoint.clock.callLater(delay, _tick, endpoint, key)
 
 
 def _tick(endpoint: Endpoint, key: ConnectionKey) -> None:
