Add the command line

Cause: operators declare services and backend servers, drain them, and must see whether every rule is in force. Change: python -m balsamshed with apply, get, list, watch, delete, drain, undrain, quiet periods, status, history, wait, check-settings, show-defaults, run and version. A conflict names the version that won and who wrote it. NaN and infinite numbers are findings now, since NaN passed every limit. Conclusion: tests run each command against a fake object API with lost responses, outages and conflicts, and two of them as real processes.

--- /dev/null
+++ b/balsamshed/commands/catalogue.py
@@ -0,0 +1,49 @@
+"""All commands by name."""
+
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+from balsamshed.commands.applying import apply
+from balsamshed.commands.drains import (
+    add_quiet_period,
+    drain,
+    remove_quiet_period,
+    undrain,
+)
+from balsamshed.commands.local import (
+    check_settings,
+    run,
+    show_defaults,
+    version,
+)
+from balsamshed.commands.objects import (
+    delete,
+    get,
+    history,
+    list_objects,
+    watch,
+)
+from balsamshed.commands.reports import status, wait
+
+#: Function of each command; returns an exit status or a `StoreCommand`.
+COMMANDS: Final[Mapping[str, Callable[..., Any]]] = MappingProxyType(
+    {
+        'check-settings': check_settings,
+        'show-defaults': show_defaults,
+        'apply': apply,
+        'get': get,
+        'list': list_objects,
+        'watch': watch,
+        'delete': delete,
+        'drain': drain,
+        'undrain': undrain,
+        'add-quiet-period': add_quiet_period,
+        'remove-quiet-period': remove_quiet_period,
+        'status': status,
+        'history': history,
+        'wait': wait,
+        'run': run,
+        'version': version,
+    }
+)
--- /dev/null
+++ b/balsamshed/commands/changes.py
@@ -0,0 +1,285 @@
+"""Changes of one object, with warnings and reports."""
+
+import math
+import re
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+from uuid import uuid4
+
+from balsamshed.audit.entries import ChangeEntry, append_change, list_versions
+from balsamshed.commands.rendering import (
+    format_difference,
+    format_json,
+    format_time,
+)
+from balsamshed.commands.sessions import Session
+from balsamshed.commands.statuses import ExitStatus
+from balsamshed.commands.worlds import World, get_spec, list_unserved
+from balsamshed.configuration.catalog import Record
+from balsamshed.configuration.parsing import Rejection, parse_resource
+from balsamshed.configuration.resources import Resource
+from balsamshed.findings import format_findings
+from balsamshed.platform.requests import (
+    WriteAccepted,
+    WriteConflict,
+    WriteOutcome,
+)
+from balsamshed.platform.responses import StoreFailure
+
+#: How long a write is tried, in seconds.
+WRITE_SECONDS: Final = 15.0
+
+_NAME: Final = re.compile('[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?')
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A change that is to be written.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of the object.
+    name : str
+        Name of the object.
+    record : Record or None
+        What the store has; None for a new object.
+    spec : mapping
+        The new specification.
+    action : str
+        Action for the change entry.
+    deleted : bool
+        Whether the change deletes the object.
+    """
+
+    kind: str
+    name: str
+    record: Record | None
+    spec: Mapping[str, Any]
+    action: str
+    deleted: bool = False
+
+    @property
+    def title(self) -> str:
+        """``kind/name`` of the object."""
+        return f'{self.kind}/{self.name}'
+
+
+def is_name(text: str) -> bool:
+    """Tell whether a text may name an object or a group."""
+    return bool(_NAME.fullmatch(text))
+
+
+def report_failure(session: Session, failure: StoreFailure) -> ExitStatus:
+    """Report a call without a usable response."""
+    detail = f' ({failure.detail})' if failure.detail else ''
+    session.write_note(
+        f'error: object store: {failure.call}: {failure.reason}{detail}; '
+        'nothing was changed by this call; check --store-url and try again'
+    )
+    return ExitStatus.FAILED
+
+
+def report_bad_name(session: Session, name: str) -> ExitStatus:
+    """Report a name that no object can have."""
+    session.write_note(
+        f'error: name: found {name!r}, allowed: up to 64 lower-case letters, '
+        'digits and hyphens'
+    )
+    return ExitStatus.BAD_INPUT
+
+
+def report_missing(session: Session, kind: str, name: str) -> ExitStatus:
+    """Report an object that does not exist."""
+    session.write_note(
+        f'error: {kind}/{name}: does not exist in group {session.group}; '
+        f'see "balsamshed list {kind}"'
+    )
+    return ExitStatus.BAD_INPUT
+
+
+def report_unexpected_version(
+    session: Session,
+    change: Change,
+    expected_version: int,
+) -> ExitStatus:
+    """Report that ``--expect-version`` does not hold."""
+    record = change.record
+    found = 'it does not exist'
+    if record is not None:
+        found = f'found version {record.version}{_describe_author(record)}'
+    session.write_note(
+        f'error: {change.title}: expected version {expected_version}, '
+        f'{found}; nothing was changed; look at "balsamshed history '
+        f'{change.kind} {change.name}" and repeat the command'
+    )
+    return ExitStatus.CONFLICT
+
+
+def show_differences(session: Session, changes: Iterable[Change]) -> None:
+    """Write a unified diff of each change, in table form only."""
+    if session.output != 'table':
+        return
+    for change in changes:
+        new = None if change.deleted else change.spec
+        old = get_spec(change.record)
+        for line in format_difference(change.title, old, new):
+            session.write_line(line)
+
+
+def list_warnings(
+    session: Session,
+    world: World,
+    changes: Iterable[Change],
+) -> list[str]:
+    """Return the warnings about services that the changes leave unserved."""
+    resources: dict[str, Resource] = dict(world.resources)
+    for change in changes:
+        key = f'{session.group}/{change.title}'
+        resources.pop(key, None)
+        outcome = parse_resource(key, change.spec)
+        if not change.deleted and not isinstance(outcome, Rejection):
+            resources[key] = outcome
+    now = session.get_time()
+    before = list_unserved(world.resources.values(), now)
+    after = list_unserved(resources.values(), now)
+    return [
+        f'service/{name}: no backend server takes new work '
+        f'{_describe_moment(moment, now)}; new work will be refused'
+        for name, moment in after.items()
+        if before.get(name, math.inf) > moment
+    ]
+
+
+def show_warnings(session: Session, warnings: Iterable[str]) -> None:
+    """Write warnings to standard error."""
+    for warning in warnings:
+        session.write_note(f'warning: {warning}')
+
+
+async def write_change(session: Session, change: Change) -> WriteOutcome:
+    """Write one change together with its change entry."""
+    record = change.record
+    version = 0 if record is None else record.version
+    known = {} if record is None else record.body
+    entry = ChangeEntry(
+        change_id=uuid4().hex,
+        who=session.who,
+        when=format_time(session.get_time()),
+        from_version=version,
+        action=change.action,
+    )
+    body = append_change(
+        {
+            'spec': change.spec,
+            'changes': known.get('changes', []),
+            'deleted': change.deleted,
+        },
+        entry,
+    )
+    outcome: WriteOutcome = await session.client.write_object(
+        f'{session.group}/{change.title}',
+        body,
+        version,
+        entry.change_id,
+        WRITE_SECONDS,
+    )
+    return outcome
+
+
+def report_outcome(
+    session: Session,
+    change: Change,
+    outcome: WriteOutcome,
+) -> ExitStatus:
+    """Report an outcome other than success on standard error."""
+    if isinstance(outcome, WriteAccepted):
+        return ExitStatus.DONE
+    look = f'look at "balsamshed history {change.kind} {change.name}"'
+    if isinstance(outcome, WriteConflict):
+        who = outcome.who or 'an unknown writer'
+        when = f' at {outcome.when}' if outcome.when else ''
+        session.write_note(
+            f'error: {change.title}: conflict: the change was for version '
+            f'{outcome.expected_version}, but {who} wrote version '
+            f'{outcome.version}{when} first; this change did not take '
+            f'effect; {look} and repeat the command'
+        )
+        return ExitStatus.CONFLICT
+    effect = 'the change did not take effect'
+    if outcome.maybe_applied:
+        effect = (
+            'the change may have taken effect or may still do so; '
+            f'{look} for change id {outcome.change_id}'
+        )
+    session.write_note(
+        f'error: {change.title}: {outcome.reason} ({outcome.detail}); {effect}'
+    )
+    return ExitStatus.FAILED
+
+
+async def make_change(
+    session: Session,
+    world: World,
+    change: Change,
+) -> ExitStatus:
+    """Check, show, write and report the change of one object."""
+    key = f'{session.group}/{change.title}'
+    if not change.deleted:
+        checked = parse_resource(key, change.spec)
+        if isinstance(checked, Rejection):
+            text = format_findings(change.title, checked.findings)
+            session.write_note(f'error: {text}')
+            return ExitStatus.BAD_INPUT
+        if get_spec(change.record) == change.spec:
+            show_results(session, [(change, 'unchanged', None)], [])
+            return ExitStatus.DONE
+    warnings = list_warnings(session, world, [change])
+    show_differences(session, [change])
+    show_warnings(session, warnings)
+    outcome = await write_change(session, change)
+    status = report_outcome(session, change, outcome)
+    if isinstance(outcome, WriteAccepted):
+        applied = (change, change.action, outcome.version)
+        show_results(session, [applied], warnings)
+    return status
+
+
+def show_results(
+    session: Session,
+    results: Iterable[tuple[Change, str, int | None]],
+    warnings: list[str],
+) -> None:
+    """Write what became of each change."""
+    rows = list(results)
+    if session.output == 'json':
+        content = {
+            'objects': [
+                {
+                    'kind': change.kind,
+                    'name': change.name,
+                    'result': text,
+                    'version': version,
+                }
+                for change, text, version in rows
+            ],
+            'warnings': warnings,
+        }
+        session.write_line(format_json(content))
+        return
+    for change, text, version in rows:
+        suffix = '' if version is None else f', version {version}'
+        session.write_line(f'{change.title}: {text}{suffix}')
+
+
+def _describe_author(record: Record) -> str:
+    changes = list_versions(record.version, record.body)
+    if not changes:
+        return ''
+    entry = changes[-1].entry
+    return f' by {entry.who} at {entry.when}'
+
+
+def _describe_moment(moment: float, now: float) -> str:
+    return 'from now on' if moment <= now else f'at {format_time(moment)}'
--- /dev/null
+++ b/balsamshed/commands/connections.py
@@ -0,0 +1,155 @@
+"""Runs a command against the real object store."""
+
+import getpass
+import os
+import socket
+import sys
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+from twisted.internet.defer import Deferred
+
+from balsamshed.commands.changes import is_name
+from balsamshed.commands.sessions import Session, StoreCommand
+from balsamshed.commands.statuses import ExitStatus
+from balsamshed.front_ends.store_client import create_http, create_store_client
+from balsamshed.schemas import is_http_url
+
+#: Environment variables in place of the options.
+GROUP_VARIABLE: Final = 'BALSAMSHED_GROUP'
+STORE_URL_VARIABLE: Final = 'BALSAMSHED_STORE_URL'
+
+_INTERRUPTED: Final = 130
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Where a command goes.
+
+    Parameters
+    ----------
+    group : str
+        Group whose objects it uses.
+    store_url : str
+        Address of the object API.
+    """
+
+    group: str
+    store_url: str
+
+
+def find_target(
+    command: StoreCommand,
+    environment: Mapping[str, str],
+) -> Target | tuple[str, ...]:
+    """Take group and address from the options or the environment.
+
+    Parameters
+    ----------
+    command : StoreCommand
+        The parsed command.
+    environment : mapping of str to str
+        Environment variables.
+
+    Returns
+    -------
+    Target or tuple of str
+        The target, or all errors.
+    """
+    group = command.group or environment.get(GROUP_VARIABLE, '')
+    store_url = command.store_url or environment.get(STORE_URL_VARIABLE, '')
+    errors = []
+    if not is_name(group):
+        errors.append(
+            f'--group: found {group!r}, allowed: up to 64 lower-case letters, '
+            f'digits and hyphens; give --group or set {GROUP_VARIABLE}'
+        )
+    if not is_http_url(store_url):
+        errors.append(
+            f'--store-url: found {store_url!r}, allowed: an address such as '
+            f'http://10.0.0.1:8080; give --store-url or set '
+            f'{STORE_URL_VARIABLE}'
+        )
+    return tuple(errors) or Target(group, store_url)
+
+
+def run_store_command(command: StoreCommand) -> int:
+    """Run a command in the reactor until it has an exit status.
+
+    Parameters
+    ----------
+    command : StoreCommand
+        The parsed command.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    target = find_target(command, os.environ)
+    if not isinstance(target, Target):
+        for text in target:
+            _write_note(f'error: {text}')
+        return ExitStatus.BAD_INPUT
+
+    from twisted.internet import reactor
+
+    session = create_session(command, target, reactor)
+    outcomes: list[Any] = []
+
+    def start() -> None:
+        pending = Deferred.fromCoroutine(command.act(session))
+        pending.addBoth(outcomes.append)
+        pending.addBoth(lambda _outcome: reactor.stop())
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    if not outcomes:
+        return _INTERRUPTED
+    if not isinstance(outcomes[0], int):
+        outcomes[0].raiseException()
+    return int(outcomes[0])
+
+
+def create_session(
+    command: StoreCommand,
+    target: Target,
+    reactor: Any,
+) -> Session:
+    """Create the surroundings of a command in this process."""
+    client = create_store_client(
+        target.store_url,
+        create_http(reactor),
+        reactor,
+    )
+    return Session(
+        group=target.group,
+        output=command.output,
+        client=client,
+        clock=reactor,
+        get_time=time.time,
+        who=get_author(),
+        write_line=_write_line,
+        write_note=_write_note,
+    )
+
+
+def get_author() -> str:
+    """Return ``user@host`` for change entries."""
+    try:
+        user = getpass.getuser()
+    except (KeyError, OSError):
+        user = 'unknown'
+    return f'{user}@{socket.gethostname()}'
+
+
+def _write_line(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    # A reader of a pipe must see each change of "watch" at once.
+    sys.stdout.flush()
+
+
+def _write_note(line: str) -> None:
+    sys.stderr.write(f'{line}\n')
--- /dev/null
+++ b/balsamshed/commands/local.py
@@ -0,0 +1,105 @@
+"""Commands that need no store."""
+
+import sys
+from typing import Literal
+
+from balsamshed import __version__
+from balsamshed.commands.rendering import format_json, format_table
+from balsamshed.commands.running import run_process, show_findings
+from balsamshed.commands.sessions import Output
+from balsamshed.commands.statuses import ExitStatus
+from balsamshed.settings.files import (
+    SettingsRejection,
+    list_defaults,
+    load_schema,
+    read_settings,
+)
+
+
+def check_settings(file: str, *, output: Output = 'table') -> int:
+    """Check a balancer's settings file.
+
+    Parameters
+    ----------
+    file
+        JSON file.
+    output
+        Form of the results.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    settings = read_settings(file)
+    if isinstance(settings, SettingsRejection):
+        return show_findings(settings)
+    if output == 'json':
+        _write(format_json({'file': file, 'name': settings.name}))
+    else:
+        _write(f'{file}: settings of balancer {settings.name}, no findings')
+    return ExitStatus.DONE
+
+
+def show_defaults(*, output: Output = 'table') -> int:
+    """Show the settings that may be left out, with their values.
+
+    Parameters
+    ----------
+    output
+        Form of the results.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    if output == 'json':
+        _write(format_json(list_defaults()))
+        return ExitStatus.DONE
+    known = load_schema()['properties']
+    rows = [
+        (key, value, known[key]['description'])
+        for key, value in list_defaults().items()
+    ]
+    for line in format_table(('KEY', 'DEFAULT', 'MEANING'), rows):
+        _write(line)
+    return ExitStatus.DONE
+
+
+def run(*, settings: str) -> int:
+    """Run a balancer in the foreground.
+
+    Parameters
+    ----------
+    settings
+        JSON file with its settings.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    return run_process(settings)
+
+
+def version(*, output: Literal['table', 'json'] = 'table') -> int:
+    """Show the version of this program.
+
+    Parameters
+    ----------
+    output
+        Form of the results.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    text = f'balsamshed {__version__}'
+    _write(format_json({'version': __version__}) if output == 'json' else text)
+    return ExitStatus.DONE
+
+
+def _write(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
--- /dev/null
+++ b/balsamshed/commands/objects.py
@@ -0,0 +1,316 @@
+"""Commands for single objects."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import asdict
+from typing import Any, Final, Literal
+
+from twisted.internet.task import deferLater
+
+from balsamshed.audit.entries import list_versions
+from balsamshed.commands.changes import (
+    Change,
+    is_name,
+    make_change,
+    report_bad_name,
+    report_failure,
+    report_missing,
+    report_unexpected_version,
+)
+from balsamshed.commands.rendering import format_json, format_table
+from balsamshed.commands.sessions import Action, Kind, Session, use_store
+from balsamshed.commands.statuses import ExitStatus
+from balsamshed.commands.worlds import (
+    DECLARED_KINDS,
+    build_world,
+    get_spec,
+    read_records,
+)
+from balsamshed.configuration.catalog import Record
+from balsamshed.platform.requests import ReadResponse
+from balsamshed.platform.responses import (
+    FailureReason,
+    ObjectMissing,
+    StoreFailure,
+)
+
+#: Timeout of one watch call, in milliseconds.
+WATCH_MS: Final = 10_000
+#: Wait before a failed watch is tried again, in seconds.
+RETRY_SECONDS: Final = 1.0
+
+
+@use_store
+def get(kind: Kind, name: str) -> Action:
+    """Show one object.
+
+    Parameters
+    ----------
+    kind
+        Kind of the object.
+    name
+        Name of the object.
+    """
+
+    async def act(session: Session) -> int:
+        record = await _read(session, kind, name)
+        if not isinstance(record, Record):
+            return record
+        if session.output == 'json':
+            session.write_line(format_json(_describe(record)))
+            return ExitStatus.DONE
+        deleted = ' (deleted)' if record.body.get('deleted') else ''
+        who, when = _get_author(record)
+        session.write_line(f'{kind}/{name}, version {record.version}{deleted}')
+        session.write_line(f'changed by {who} at {when}')
+        session.write_line(format_json(record.body.get('spec')))
+        return ExitStatus.DONE
+
+    return act
+
+
+@use_store
+def list_objects(kind: Kind | None = None) -> Action:
+    """List the objects of a group.
+
+    Parameters
+    ----------
+    kind
+        Kind of the objects; services and backend servers if left out.
+    """
+
+    async def act(session: Session) -> int:
+        listing = await read_records(session, (kind,) if kind else _DECLARED)
+        if isinstance(listing, StoreFailure):
+            return report_failure(session, listing)
+        records = [
+            record
+            for record in listing.records
+            if not record.body.get('deleted')
+        ]
+        if session.output == 'json':
+            session.write_line(format_json(list(map(_describe, records))))
+            return ExitStatus.DONE
+        titles = ('OBJECT', 'VERSION', 'CHANGED BY', 'CHANGED AT', 'SUMMARY')
+        rows = [
+            (
+                _get_title(record),
+                record.version,
+                *_get_author(record),
+                _summarize(get_spec(record) or {}),
+            )
+            for record in records
+        ]
+        for line in format_table(titles, rows):
+            session.write_line(line)
+        return ExitStatus.DONE
+
+    return act
+
+
+@use_store
+def watch(
+    kind: Kind | None = None,
+    *,
+    deadline_seconds: float = 0,
+) -> Action:
+    """Show changes as they happen, until interrupted.
+
+    Parameters
+    ----------
+    kind
+        Kind of the objects; all kinds if left out.
+    deadline_seconds
+        Stop after this time; 0 for no limit.
+    """
+
+    async def act(session: Session) -> int:
+        end = session.clock.seconds() + (deadline_seconds or float('inf'))
+        prefix = f'{session.group}/{kind}/' if kind else f'{session.group}/'
+        listing = await read_records(session, (kind or 'service',))
+        if isinstance(listing, StoreFailure):
+            return report_failure(session, listing)
+        revision = listing.revision
+        session.write_note(f'watching {prefix} from revision {revision}')
+        while session.clock.seconds() < end:
+            left_ms = (end - session.clock.seconds()) * 1000
+            news = await session.client.watch_objects(
+                prefix,
+                revision,
+                int(max(1, min(WATCH_MS, left_ms))),
+            )
+            if isinstance(news, StoreFailure):
+                revision = await _recover(session, news, kind, revision)
+                continue
+            revision = max(revision, news.revision)
+            _show_changes(session, news.records)
+        return ExitStatus.DONE
+
+    return act
+
+
+@use_store
+def delete(
+    kind: Literal['service', 'backend_server', 'status'],
+    name: str,
+    *,
+    expect_version: int = -1,
+) -> Action:
+    """Delete one object; its history stays.
+
+    Parameters
+    ----------
+    kind
+        Kind of the object. The status of a data centre is deleted after its
+        last balancer is gone.
+    name
+        Name of the object.
+    expect_version
+        Version that the object must have; -1 for any version.
+    """
+
+    async def act(session: Session) -> int:
+        record = await _read(session, kind, name)
+        if not isinstance(record, Record):
+            return record
+        if record.body.get('deleted'):
+            return report_missing(session, kind, name)
+        spec = record.body.get('spec') or {}
+        change = Change(kind, name, record, spec, 'delete', deleted=True)
+        if expect_version not in {-1, record.version}:
+            return report_unexpected_version(session, change, expect_version)
+        listing = await read_records(session)
+        if isinstance(listing, StoreFailure):
+            return report_failure(session, listing)
+        return await make_change(session, build_world(listing.records), change)
+
+    return act
+
+
+@use_store
+def history(kind: Kind, name: str) -> Action:
+    """Show who changed an object, when and how; the last 16 changes.
+
+    Parameters
+    ----------
+    kind
+        Kind of the object.
+    name
+        Name of the object.
+    """
+
+    async def act(session: Session) -> int:
+        record = await _read(session, kind, name)
+        if not isinstance(record, Record):
+            return record
+        changes = list_versions(record.version, record.body)
+        rows = [
+            {'version': change.version, **asdict(change.entry)}
+            for change in changes
+        ]
+        if session.output == 'json':
+            session.write_line(format_json(rows))
+            return ExitStatus.DONE
+        titles = ('version', 'from_version', 'when', 'who', 'action')
+        for line in format_table(
+            (*map(str.upper, titles), 'CHANGE ID'),
+            [(*(row[key] for key in titles), row['change_id']) for row in rows],
+        ):
+            session.write_line(line)
+        if changes and changes[0].entry.from_version > 0:
+            session.write_note('note: older changes are not kept in the object')
+        return ExitStatus.DONE
+
+    return act
+
+
+async def _read(session: Session, kind: str, name: str) -> Record | ExitStatus:
+    if not is_name(name) and kind != 'audit':
+        return report_bad_name(session, name)
+    key = f'{session.group}/{kind}/{name}'
+    record: ReadResponse = await session.client.read_object(key)
+    if isinstance(record, StoreFailure):
+        return report_failure(session, record)
+    if isinstance(record, ObjectMissing):
+        return report_missing(session, kind, name)
+    return record
+
+
+async def _recover(
+    session: Session,
+    failure: StoreFailure,
+    kind: str | None,
+    revision: int,
+) -> int:
+    """Wait after a failed watch, and list again if changes were missed."""
+    session.write_note(f'note: watch: {failure.reason}; trying again')
+    await deferLater(session.clock, RETRY_SECONDS)
+    if failure.reason is not FailureReason.TOO_OLD:
+        return revision
+    listing = await read_records(session, (kind,) if kind else _DECLARED)
+    if isinstance(listing, StoreFailure):
+        return revision
+    missed = [entry for entry in listing.records if entry.version > revision]
+    _show_changes(session, missed)
+    return listing.revision
+
+
+def _show_changes(session: Session, records: Iterable[Record]) -> None:
+    for record in records:
+        if session.output == 'json':
+            session.write_line(_format_line(_describe(record)))
+            continue
+        who, when = _get_author(record)
+        action = _get_action(record)
+        session.write_line(
+            f'{record.version}  {_get_title(record)}  {action}  {who}  {when}'
+        )
+
+
+def _format_line(content: Mapping[str, Any]) -> str:
+    # One line for each change, so that a pipe can be read line by line.
+    return ' '.join(format_json(content).split('\n'))
+
+
+def _describe(record: Record) -> dict[str, Any]:
+    return {
+        'key': record.key,
+        'version': record.version,
+        'body': dict(record.body),
+    }
+
+
+def _get_title(record: Record) -> str:
+    return record.key.split('/', maxsplit=1)[-1]
+
+
+def _get_author(record: Record) -> tuple[str, str]:
+    changes = list_versions(record.version, record.body)
+    if not changes:
+        return '-', '-'
+    return changes[-1].entry.who, changes[-1].entry.when
+
+
+def _get_action(record: Record) -> str:
+    changes = list_versions(record.version, record.body)
+    return changes[-1].entry.action if changes else 'write'
+
+
+def _summarize(spec: Mapping[str, Any]) -> str:
+    parts = [
+        f'{key}={spec[key]}'
+        for key in ('service', 'host', 'address', 'data_centre', 'slots')
+        if key in spec
+    ]
+    if spec.get('draining'):
+        parts.append('draining')
+    periods = spec.get('quiet_periods')
+    if periods:
+        parts.append(f'quiet_periods={len(periods)}')
+    parts.extend(
+        f'{listener.get("name")}:{listener.get("port")}'
+        for listener in spec.get('listeners', ())
+    )
+    return ' '.join(parts)
+
+
+_DECLARED: Final = DECLARED_KINDS
--- /dev/null
+++ b/balsamshed/commands/program.py
@@ -0,0 +1,54 @@
+"""Entry point of the command line."""
+
+import sys
+from collections.abc import Sequence
+from typing import Final
+
+_EPILOG: Final = (
+    'Exit status: 0 done; 1 failed (store unreachable, time limit); '
+    '2 bad input, nothing was changed; 3 conflict with another change.'
+)
+_RUN_LENGTH: Final = 3
+
+
+def run_program(arguments: Sequence[str] | None = None) -> int:
+    """Run one command.
+
+    Parameters
+    ----------
+    arguments : sequence of str, optional
+        Command with its arguments; those of the process if left out.
+
+    Returns
+    -------
+    int
+        Exit status, see `ExitStatus`.
+    """
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    if len(given) == _RUN_LENGTH and given[:2] == ['run', '--settings']:
+        # A balancer has 64 MB; the parser with its libraries takes 5 MB.
+        from balsamshed.commands.running import run_process
+
+        return run_process(given[2])
+    return _run_parsed(given)
+
+
+def _run_parsed(given: list[str]) -> int:
+    import defopt
+
+    from balsamshed.commands.catalogue import COMMANDS
+    from balsamshed.commands.connections import run_store_command
+    from balsamshed.commands.sessions import StoreCommand
+
+    if not given:
+        given = ['--help']
+    outcome = defopt.run(
+        dict(COMMANDS),
+        short={},
+        version=False,
+        argparse_kwargs={'prog': 'balsamshed', 'epilog': _EPILOG},
+        argv=given,
+    )
+    if isinstance(outcome, StoreCommand):
+        return run_store_command(outcome)
+    return int(outcome)
--- /dev/null
+++ b/balsamshed/commands/reports.py
@@ -0,0 +1,249 @@
+"""Commands that show whether everything is in force."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, Final
+
+from twisted.internet.task import deferLater
+
+from balsamshed.commands.changes import report_failure
+from balsamshed.commands.fleet import (
+    FleetReport,
+    describe_gap,
+    evaluate_fleet,
+    get_target,
+)
+from balsamshed.commands.rendering import (
+    format_json,
+    format_table,
+    format_time,
+)
+from balsamshed.commands.sessions import Action, Session, use_store
+from balsamshed.commands.statuses import ExitStatus
+from balsamshed.commands.worlds import (
+    World,
+    build_world,
+    list_unserved,
+    read_records,
+)
+from balsamshed.configuration.resources import BackendServer
+from balsamshed.platform.responses import Listing, StoreFailure, VmEntry
+
+_STATUS: Final = ('status',)
+#: Timeout of one watch call of ``wait``, in milliseconds.
+_WATCH_MS: Final = 5_000
+#: Wait before a failed call is tried again, in seconds.
+_RETRY_SECONDS: Final = 0.5
+
+
+@use_store
+def status() -> Action:
+    """Show the fleet at a glance: what is not in force, where, since when."""
+
+    async def act(session: Session) -> int:
+        declared = await read_records(session)
+        if isinstance(declared, StoreFailure):
+            return report_failure(session, declared)
+        statuses = await read_records(session, _STATUS)
+        if isinstance(statuses, StoreFailure):
+            return report_failure(session, statuses)
+        vms = await session.client.list_vms()
+        target = get_target(declared.records)
+        report = evaluate_fleet(declared.records, statuses.records, target)
+        world = build_world(declared.records)
+        notes = [
+            *_list_unserved_notes(session, world),
+            *_list_unseen(report, world, vms),
+        ]
+        if session.output == 'json':
+            session.write_line(format_json(_describe(report, notes)))
+        else:
+            _show(session, report, notes)
+        return ExitStatus.DONE
+
+    return act
+
+
+@use_store
+def wait(*, deadline_seconds: float) -> Action:
+    """Wait until everything that is declared now is in force everywhere.
+
+    Parameters
+    ----------
+    deadline_seconds
+        Give up after this time; 0 to check once.
+    """
+
+    async def act(session: Session) -> int:
+        end = session.clock.seconds() + deadline_seconds
+        declared = await _retry(session, end, ('service', 'backend_server'))
+        if isinstance(declared, StoreFailure):
+            return report_failure(session, declared)
+        target = get_target(declared.records)
+        progress = ''
+        while True:
+            statuses = await _retry(session, end, _STATUS)
+            if isinstance(statuses, StoreFailure):
+                return report_failure(session, statuses)
+            records = statuses.records
+            report = evaluate_fleet(declared.records, records, target)
+            if not report.gaps:
+                return _finish(session, report, ExitStatus.DONE)
+            text = '; '.join(map(describe_gap, report.gaps))
+            if text != progress:
+                session.write_note(f'waiting for version {target}: {text}')
+            progress = text
+            left_seconds = end - session.clock.seconds()
+            if left_seconds <= 0:
+                session.write_note(
+                    f'error: version {target} is not in force everywhere '
+                    f'after {deadline_seconds:g} s; see "balsamshed status"'
+                )
+                return _finish(session, report, ExitStatus.FAILED)
+            await _await_change(session, statuses.revision, left_seconds)
+
+    return act
+
+
+async def _retry(
+    session: Session,
+    end: float,
+    kinds: Iterable[str],
+) -> Listing | StoreFailure:
+    """List until the store responds or the time is over."""
+    listing = await read_records(session, tuple(kinds))
+    while isinstance(listing, StoreFailure):
+        if session.clock.seconds() + _RETRY_SECONDS >= end:
+            break
+        session.write_note(f'object store: {listing.reason}; trying again')
+        await deferLater(session.clock, _RETRY_SECONDS)
+        listing = await read_records(session, tuple(kinds))
+    return listing
+
+
+async def _await_change(
+    session: Session,
+    revision: int,
+    left_seconds: float,
+) -> None:
+    news = await session.client.watch_objects(
+        f'{session.group}/status/',
+        revision,
+        int(max(1, min(_WATCH_MS, left_seconds * 1000))),
+    )
+    if isinstance(news, StoreFailure):
+        await deferLater(session.clock, min(_RETRY_SECONDS, left_seconds))
+
+
+def _finish(
+    session: Session,
+    report: FleetReport,
+    outcome: ExitStatus,
+) -> ExitStatus:
+    if session.output == 'json':
+        session.write_line(format_json(_describe(report, [])))
+    elif outcome is ExitStatus.DONE:
+        session.write_line(f'version {report.target_version} is in force')
+    return outcome
+
+
+def _describe(report: FleetReport, notes: list[str]) -> dict[str, Any]:
+    return {
+        'in_force': not report.gaps,
+        'target_version': report.target_version,
+        'gaps': [
+            {
+                'place': gap.place,
+                'reason': gap.reason,
+                'since': format_time(gap.since) if gap.since else None,
+            }
+            for gap in report.gaps
+        ],
+        'data_centres': [dict(spec) for spec in report.summaries],
+        'unmet_rules': [dict(rule) for rule in report.unmet_rules],
+        'rejected': [dict(entry) for entry in report.rejected],
+        'notes': notes,
+    }
+
+
+def _show(session: Session, report: FleetReport, notes: list[str]) -> None:
+    target = report.target_version
+    verdict = 'is NOT in force everywhere' if report.gaps else 'is in force'
+    session.write_line(f'version {target} {verdict}')
+    for gap in report.gaps:
+        session.write_line(f'  {describe_gap(gap)}')
+    titles = ('DATA CENTRE', 'MEMBERS', 'IN FORCE', 'VERSION', 'WRITTEN AT')
+    rows = [
+        (
+            spec['data_centre'],
+            spec['members'],
+            spec['in_force'],
+            spec['highest_version'],
+            format_time(spec['written_at']),
+        )
+        for spec in report.summaries
+    ]
+    for line in format_table(titles, rows):
+        session.write_line(line)
+    for rule in report.unmet_rules:
+        session.write_line(
+            f'rule not kept in {rule["data_centre"]}: backend_server/'
+            f'{rule["backend_server"]}: {rule["rule"]}: {rule["reason"]}'
+        )
+    for entry in report.rejected:
+        _show_rejected(session, entry)
+    for note in notes:
+        session.write_line(f'note: {note}')
+
+
+def _show_rejected(session: Session, entry: Mapping[str, Any]) -> None:
+    session.write_line(
+        f'rejected: {entry["key"]}, version {entry["version"]}; the last good '
+        'version stays in force'
+    )
+    for finding in entry.get('findings', ()):
+        session.write_line(
+            f'  {finding.get("place")}: found {finding.get("found")}, '
+            f'allowed: {finding.get("allowed")}'
+        )
+
+
+def _list_unserved_notes(session: Session, world: World) -> list[str]:
+    now = session.get_time()
+    unserved = list_unserved(world.resources.values(), now)
+    return [
+        f'service/{name}: no backend server takes new work at '
+        f'{format_time(max(moment, now))}'
+        for name, moment in unserved.items()
+    ]
+
+
+def _list_unseen(
+    report: FleetReport,
+    world: World,
+    vms: tuple[VmEntry, ...] | StoreFailure,
+) -> list[str]:
+    """Name what no status covers; the VM list lags, so these are notes."""
+    notes: list[str] = []
+    covered = {spec['data_centre'] for spec in report.summaries}
+    served = {
+        resource.data_centre
+        for resource in world.resources.values()
+        if isinstance(resource, BackendServer)
+    }
+    notes.extend(
+        f'data centre {name}: has backend servers, but no status object'
+        for name in sorted(served - covered)
+    )
+    if isinstance(vms, StoreFailure):
+        return [*notes, f'the VM list could not be read: {vms.reason}']
+    members = {
+        name
+        for spec in report.summaries
+        for name in spec.get('member_names', ())
+    }
+    notes.extend(
+        f'VM {vm.name} in {vm.data_centre}: no member sees a balancer there'
+        for vm in vms
+        if not vm.leaving and vm.name not in members
+    )
+    return notes
--- /dev/null
+++ b/balsamshed/commands/running.py
@@ -0,0 +1,36 @@
+"""Start of a balancer, without the imports of the other commands."""
+
+import sys
+from importlib import import_module
+
+from balsamshed.commands.statuses import ExitStatus
+from balsamshed.findings import format_findings
+from balsamshed.settings.files import SettingsRejection, read_settings
+
+
+def run_process(file: str) -> int:
+    """Run a balancer until it stops.
+
+    Parameters
+    ----------
+    file : str
+        Settings file.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    settings = read_settings(file)
+    if isinstance(settings, SettingsRejection):
+        return show_findings(settings)
+    # Sockets and the reactor are loaded only once the settings are good.
+    process = import_module('balsamshed.front_ends.process')
+    return int(process.run_balancer(settings) or ExitStatus.DONE)
+
+
+def show_findings(rejection: SettingsRejection) -> int:
+    """Write the findings of a settings file to standard error."""
+    text = format_findings(rejection.file, rejection.findings)
+    sys.stderr.write(f'{text}\n')
+    return ExitStatus.BAD_INPUT
--- /dev/null
+++ b/balsamshed/commands/sessions.py
@@ -0,0 +1,145 @@
+"""What a command needs to talk to the object store."""
+
+import inspect
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Final, Literal
+
+from twisted.internet.interfaces import IReactorTime
+
+from balsamshed.front_ends.store_client import StoreClient
+
+Output = Literal['table', 'json']
+#: Kinds of objects that the commands accept.
+Kind = Literal['service', 'backend_server', 'status', 'audit']
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """Surroundings of one command.
+
+    Parameters
+    ----------
+    group : str
+        Group whose objects the command uses.
+    output : Output
+        Form of the results.
+    client : StoreClient
+        Calls of the object store.
+    clock : IReactorTime
+        Timers.
+    get_time : callable
+        Returns the seconds since the Unix epoch.
+    who : str
+        Name for change entries.
+    write_line : callable
+        Writes a line of the result.
+    write_note : callable
+        Writes a line about progress, a warning or an error.
+    """
+
+    group: str
+    output: Output
+    client: StoreClient
+    clock: IReactorTime
+    get_time: Callable[[], float]
+    who: str
+    write_line: Callable[[str], None]
+    write_note: Callable[[str], None]
+
+
+Action = Callable[[Session], Awaitable[int]]
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCommand:
+    """A parsed command that uses the object store.
+
+    Parameters
+    ----------
+    group : str
+        Value of ``--group``, or empty.
+    store_url : str
+        Value of ``--store-url``, or empty.
+    output : Output
+        Value of ``--output``.
+    act : callable
+        Runs the command in a session and returns the exit status.
+    """
+
+    group: str
+    store_url: str
+    output: Output
+    act: Action
+
+
+_OPTIONS: Final = {
+    'group': (str, '', 'Group; BALSAMSHED_GROUP if left out.'),
+    'store_url': (
+        str,
+        '',
+        'Address of the object API; BALSAMSHED_STORE_URL if left out.',
+    ),
+    'output': (Output, 'table', 'Form of the results.'),
+}
+
+
+def use_store(function: Callable[..., Action]) -> Callable[..., StoreCommand]:
+    """Add the options that all commands with a store share.
+
+    Parameters
+    ----------
+    function : callable
+        Takes the command's own arguments and returns its action. Its
+        docstring ends with its parameters, if it has some.
+
+    Returns
+    -------
+    callable
+        Function for the command line parser.
+    """
+
+    def command(*positional: Any, **named: Any) -> StoreCommand:
+        group = named.pop('group', '')
+        store_url = named.pop('store_url', '')
+        output = named.pop('output', 'table')
+        return StoreCommand(
+            group,
+            store_url,
+            output,
+            function(*positional, **named),
+        )
+
+    signature = inspect.signature(function)
+    shared = [
+        inspect.Parameter(
+            name,
+            inspect.Parameter.KEYWORD_ONLY,
+            default=default,
+            annotation=kind,
+        )
+        for name, (kind, default, _text) in _OPTIONS.items()
+    ]
+    # The parser reads names, types and descriptions from these attributes.
+    command.__dict__['__signature__'] = signature.replace(
+        parameters=[*signature.parameters.values(), *shared],
+    )
+    command.__annotations__ = {
+        **function.__annotations__,
+        **{name: part[0] for name, part in _OPTIONS.items()},
+    }
+    command.__name__ = function.__name__
+    command.__module__ = function.__module__
+    command.__doc__ = _describe(function)
+    return command
+
+
+def _describe(function: Callable[..., Action]) -> str:
+    text = inspect.getdoc(function) or ''
+    if 'Parameters\n' not in text:
+        text = f'{text}\n\nParameters\n----------'
+    parts = [
+        f'{name}\n    {description}'
+        for name, (_kind, _default, description) in _OPTIONS.items()
+    ]
+    return '\n'.join((text.rstrip(), *parts))
--- /dev/null
+++ b/balsamshed/commands/statuses.py
@@ -0,0 +1,16 @@
+"""Exit statuses of the command line."""
+
+from enum import IntEnum
+
+
+class ExitStatus(IntEnum):
+    """What a script can tell from the exit of a command."""
+
+    #: The command did what it says.
+    DONE = 0
+    #: The store could not be reached, or a time limit passed.
+    FAILED = 1
+    #: An argument, a file or an object has findings; nothing was changed.
+    BAD_INPUT = 2
+    #: Another change came first; this one did not take effect.
+    CONFLICT = 3
--- /dev/null
+++ b/balsamshed/commands/tests/test_program.py
@@ -0,0 +1,184 @@
+"""Guards the command line as a process: exit statuses, streams, imports."""
+
+import json
+import os
+import subprocess
+import sys
+from contextlib import contextmanager
+from types import SimpleNamespace
+
+import pytest
+
+from balsamshed.commands.connections import Target, find_target
+from balsamshed.commands.program import run_program
+from balsamshed.commands.sessions import StoreCommand
+from balsamshed.commands.statuses import ExitStatus
+from balsamshed.commands.tests.harness import SERVICE, make_server
+
+SETTINGS = {
+    'name': 'b1',
+    'group': 'laval',
+    'data_centre': 'qc-1',
+    'fabric': {'host': '127.0.0.1', 'port': 9000},
+    'store_url': 'http://127.0.0.1:8080',
+    'peer_key': 'ab' * 16,
+}
+
+
+@pytest.fixture
+def settings_file(tmp_path):
+    file = tmp_path / 'settings.json'
+    file.write_text(json.dumps(SETTINGS), encoding='utf-8')
+    return str(file)
+
+
+@contextmanager
+def start_store():
+    """Run the fake store as a process; it ends with its standard input."""
+    command = (sys.executable, '-m', 'balsamshed.commands.tests.fake_store')
+    with subprocess.Popen(
+        command,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as process:
+        port = process.stdout.readline().strip()
+        try:
+            yield f'http://127.0.0.1:{port}'
+        finally:
+            process.stdin.close()
+            process.wait(timeout=10)
+
+
+def run_process(*arguments, **environment):
+    return subprocess.run(
+        (sys.executable, '-m', 'balsamshed', *arguments),
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+        env={**os.environ, **environment},
+    )
+
+
+def test_commands_reach_a_store_over_http(tmp_path):
+    """The pieces that the other tests replace must fit together."""
+    file = tmp_path / 'objects.json'
+    entries = [
+        {'kind': 'service', 'name': 'creneau', 'spec': dict(SERVICE)},
+        {'kind': 'backend_server', 'name': 'b1', 'spec': make_server(1)},
+    ]
+    file.write_text(json.dumps(entries), encoding='utf-8')
+    with start_store() as url:
+        names = {'BALSAMSHED_GROUP': 'g', 'BALSAMSHED_STORE_URL': url}
+        applied = run_process('apply', str(file), **names)
+        assert applied.returncode == 0, applied.stderr
+        assert 'backend_server/b1: applied, version 2' in applied.stdout
+        drained = run_process('drain', 'b1', '--output', 'json', **names)
+        assert drained.returncode == 0, drained.stderr
+        assert json.loads(drained.stdout)['objects'][0]['version'] == 3
+        assert 'warning: service/creneau' in drained.stderr
+    failed = run_process('list', '--group', 'g', '--store-url', url)
+    assert failed.returncode == 1
+    assert 'unreachable' in failed.stderr
+    assert failed.stdout == ''
+
+
+def test_help_states_the_exit_statuses(capsys):
+    """Scripts rely on the exit statuses."""
+    with pytest.raises(SystemExit) as stopped:
+        run_program(())
+    assert stopped.value.code == 0
+    text = capsys.readouterr().out
+    assert '0 done; 1 failed' in text
+    assert '3 conflict' in text
+    assert [int(status) for status in ExitStatus] == [0, 1, 2, 3]
+
+
+@pytest.mark.parametrize(
+    'arguments',
+    [
+        ('fly',),
+        ('get', 'balancer', 'b1'),
+        ('wait',),
+        ('add-quiet-period', 'b1', '--start', 'x', '--duration-seconds', 'y'),
+    ],
+)
+def test_bad_arguments_are_bad_input(arguments, capsys):
+    """The parser's exit status must be the documented one."""
+    with pytest.raises(SystemExit) as stopped:
+        run_program(arguments)
+    assert stopped.value.code == ExitStatus.BAD_INPUT
+    assert 'usage: balsamshed' in capsys.readouterr().err
+
+
+def test_group_and_store_come_from_options_or_environment():
+    """An option goes before the environment; nothing is guessed."""
+    variables = {
+        'BALSAMSHED_GROUP': 'laval',
+        'BALSAMSHED_STORE_URL': 'http://a:1',
+    }
+    command = StoreCommand('', '', 'table', None)
+    assert find_target(command, variables) == Target('laval', 'http://a:1')
+    command = StoreCommand('loxley', 'http://b:2', 'table', None)
+    assert find_target(command, variables) == Target('loxley', 'http://b:2')
+    command = StoreCommand('', '', 'table', None)
+    errors = find_target(command, {'BALSAMSHED_STORE_URL': 'ftp://x'})
+    assert len(errors) == 2
+    assert "--store-url: found 'ftp://x'" in errors[1]
+
+
+def test_missing_group_is_bad_input(monkeypatch, capsys):
+    """A command without a group must not touch any group."""
+    monkeypatch.delenv('BALSAMSHED_GROUP', raising=False)
+    monkeypatch.delenv('BALSAMSHED_STORE_URL', raising=False)
+    assert run_program(('list',)) == ExitStatus.BAD_INPUT
+    assert 'set BALSAMSHED_GROUP' in capsys.readouterr().err
+
+
+def test_check_settings_reports_all_findings(settings_file, tmp_path, capsys):
+    """An operator must be able to check a file before a start."""
+    assert run_program(('check-settings', settings_file)) == ExitStatus.DONE
+    assert 'no findings' in capsys.readouterr().out
+    file = tmp_path / 'bad.json'
+    bad = {**SETTINGS, 'data_port': 0, 'host': 'x'}
+    file.write_text(json.dumps(bad), encoding='utf-8')
+    assert run_program(('check-settings', str(file))) == ExitStatus.BAD_INPUT
+    errors = capsys.readouterr().err
+    assert f'{file}: $.data_port: found 0, allowed: ' in errors
+    assert f'{file}: $.host: found "x", allowed: ' in errors
+
+
+def test_defaults_and_version_are_shown(capsys):
+    """The documented defaults must be those of the program."""
+    assert run_program(('show-defaults', '--output', 'json')) == 0
+    defaults = json.loads(capsys.readouterr().out)
+    assert defaults['host'] == '127.0.0.1'
+    assert run_program(('version',)) == 0
+    assert capsys.readouterr().out.startswith('balsamshed 0.')
+
+
+def test_run_starts_the_process_with_its_settings(settings_file, monkeypatch):
+    """The settings must reach the balancer, its exit status the caller."""
+    started = []
+    fake = SimpleNamespace(run_balancer=started.append)
+    monkeypatch.setitem(sys.modules, 'balsamshed.front_ends.process', fake)
+    assert run_program(('run', '--settings', settings_file)) == 0
+    assert run_program(('run', f'--settings={settings_file}')) == 0
+    assert [settings.name for settings in started] == ['b1', 'b1']
+    assert run_program(('run', '--settings', '/missing')) == 2
+
+
+def test_run_does_not_load_what_other_commands_need(settings_file):
+    """A balancer has 64 MB of memory."""
+    program = (
+        'import sys, types\n'
+        'fake = types.ModuleType("balsamshed.front_ends.process")\n'
+        'fake.run_balancer = lambda settings: 0\n'
+        'sys.modules["balsamshed.front_ends.process"] = fake\n'
+        'from balsamshed.commands.program import run_program\n'
+        f'assert run_program(["run", "--settings", {settings_file!r}]) == 0\n'
+        'heavy = {"defopt", "docutils", "difflib", "treq", "twisted"}\n'
+        'assert not heavy & set(sys.modules), heavy & set(sys.modules)\n'
+    )
+    subprocess.run((sys.executable, '-c', program), check=True, timeout=20)
--- a/balsamshed/schemas.py
+++ b/balsamshed/schemas.py
@@ -1,6 +1,7 @@
 """Comparison of JSON documents with JSON schemas (draft 2020-12)."""
 
 import json
+import math
 import re
 from collections.abc import Iterator, Mapping
 from datetime import datetime
@@ -165,11 +166,17 @@
     return isinstance(instance, int) and not isinstance(instance, bool)
 
 
+def _is_number(_checker: object, instance: object) -> bool:
+    # NaN lies within no limits and outside none, and JSON has neither.
+    if isinstance(instance, bool) or not isinstance(instance, int | float):
+        return False
+    return isinstance(instance, int) or math.isfinite(instance)
+
+
 _Validator = extend(
     Draft202012Validator,
     validators={'pattern': _check_pattern},
-    type_checker=Draft202012Validator.TYPE_CHECKER.redefine(
-        'integer',
-        _is_integer,
+    type_checker=Draft202012Validator.TYPE_CHECKER.redefine_many(
+        {'integer': _is_integer, 'number': _is_number},
     ),
 )
