--- a/balsamshed/codecs/packets.py
+++ b/balsamshed/codecs/packets.py
@@ -27,7 +27,6 @@
 _DECODED = Struct('!BxHxxHxBxxIIHHI5xB')
 _WORD = Struct('!H')
 _ADDRESS = Struct('!I')
-_FLOW_KEY = Struct('!IIHH')
 _IP_HEADER = Struct('!BBHHHBBHII')
 _TCP_HEADER = Struct('!HHIIBBHHH')
 _PSEUDO_HEADER = Struct('!IIBBH')
@@ -101,29 +100,6 @@
     )
 
 
-def build_flow_key(
-    caller: int,
-    address: int,
-    caller_port: int,
-    port: int,
-) -> bytes:
-    """Return the key of a flow as it stands in the caller's packets.
-
-    Parameters
-    ----------
-    caller, address : int
-        IPv4 addresses of the caller and of the service.
-    caller_port, port : int
-        TCP ports of the caller and of the listener.
-
-    Returns
-    -------
-    bytes
-        12 bytes.
-    """
-    return _FLOW_KEY.pack(caller, address, caller_port, port)
-
-
 def rewrite_destination(raw: bytes, old: int, new: int) -> bytearray:
     """Replace the destination address of a packet.
 
--- a/balsamshed/configuration/catalog.py
+++ b/balsamshed/configuration/catalog.py
@@ -43,6 +43,9 @@
         Newest version of each object, deleted ones included.
     resources : dict of str to Resource
         Last version of each object that had no findings.
+    retired : dict of str to Resource
+        Last good version of each deleted object. Open flows still need the
+        way back from a deleted backend server.
     rejections : dict of str to Rejection
         Findings of the newest version, for objects that have some.
     digest : int
@@ -53,6 +56,7 @@
 
     records: dict[str, Record] = field(default_factory=dict)
     resources: dict[str, Resource] = field(default_factory=dict)
+    retired: dict[str, Resource] = field(default_factory=dict)
     rejections: dict[str, Rejection] = field(default_factory=dict)
     digest: int = 0
     highest_version: int = 0
@@ -117,7 +121,10 @@
 
 def derive_routing_table(catalog: Catalog) -> RoutingTable:
     """Build the routing table of the applied resources."""
-    return build_routing_table(catalog.resources.values())
+    return build_routing_table(
+        catalog.resources.values(),
+        catalog.retired.values(),
+    )
 
 
 def _replace_record(
@@ -131,12 +138,15 @@
     catalog.highest_version = max(catalog.highest_version, record.version)
     catalog.records[record.key] = record
     catalog.rejections.pop(record.key, None)
+    outcome = parse_resource(record.key, record.body.get('spec'))
     if record.body.get('deleted'):
-        catalog.resources.pop(record.key, None)
+        last = catalog.resources.pop(record.key, outcome)
+        if not isinstance(last, Rejection):
+            catalog.retired[record.key] = last
         return
-    outcome = parse_resource(record.key, record.body.get('spec'))
     if isinstance(outcome, Rejection):
         # The last good version stays in force.
         catalog.rejections[record.key] = outcome
     else:
         catalog.resources[record.key] = outcome
+        catalog.retired.pop(record.key, None)
--- /dev/null
+++ b/balsamshed/configuration/gossip.py
@@ -0,0 +1,136 @@
+"""Anti-entropy between the catalogs of two members."""
+
+from collections.abc import Collection, Iterable
+from typing import Final
+
+from xxhash import xxh3_64_intdigest
+
+from balsamshed.configuration.catalog import Catalog, Record, hash_version
+from balsamshed.configuration.messages import (
+    BucketDigests,
+    BucketVersions,
+    RecordPush,
+)
+
+#: Buckets into which the keys of a catalog are hashed.
+BUCKET_COUNT: Final = 16
+#: Records in one push: about 600 bytes each, 1,200 fit a usual MTU.
+MAX_PUSHED_RECORDS: Final = 2
+#: Pushes that answer one message; the rest follows with the next digest.
+MAX_PUSHES: Final = 40
+
+
+def summarize_buckets(catalog: Catalog) -> BucketDigests:
+    """Return the digest of each bucket.
+
+    Parameters
+    ----------
+    catalog : Catalog
+        Records of one node.
+
+    Returns
+    -------
+    BucketDigests
+        `BUCKET_COUNT` digests.
+    """
+    digests = list(bytes(BUCKET_COUNT))
+    for record in catalog.records.values():
+        digests[_get_bucket(record.key)] ^= hash_version(
+            record.key,
+            record.version,
+        )
+    return BucketDigests(tuple(digests))
+
+
+def compare_buckets(
+    catalog: Catalog,
+    received: BucketDigests,
+) -> BucketVersions | None:
+    """Answer another member's digests with the versions that differ.
+
+    Parameters
+    ----------
+    catalog : Catalog
+        Records of this node.
+    received : BucketDigests
+        Digests of the other member.
+
+    Returns
+    -------
+    BucketVersions or None
+        Versions in the buckets that differ; None if all are equal.
+    """
+    own = summarize_buckets(catalog).digests
+    differing = tuple(
+        bucket
+        for bucket, digest in enumerate(own)
+        if received.digests[bucket : bucket + 1] != (digest,)
+    )
+    return list_versions(catalog, differing) if differing else None
+
+
+def list_versions(
+    catalog: Catalog,
+    buckets: Collection[int],
+) -> BucketVersions:
+    """List the versions of the keys in some buckets."""
+    return BucketVersions(
+        tuple(buckets),
+        tuple(
+            (record.key, record.version)
+            for record in catalog.records.values()
+            if _get_bucket(record.key) in buckets
+        ),
+    )
+
+
+def answer_versions(
+    catalog: Catalog,
+    received: BucketVersions,
+) -> tuple[RecordPush | BucketVersions, ...]:
+    """Send what the other member lacks, and ask for what this one lacks.
+
+    Parameters
+    ----------
+    catalog : Catalog
+        Records of this node.
+    received : BucketVersions
+        Versions of the other member.
+
+    Returns
+    -------
+    tuple of RecordPush or BucketVersions
+        Pushes of newer records; own versions if the other has newer ones.
+    """
+    theirs = dict(received.versions)
+    newer = [
+        record
+        for record in catalog.records.values()
+        if _get_bucket(record.key) in received.buckets
+        and record.version > theirs.get(record.key, -1)
+    ]
+    messages: list[RecordPush | BucketVersions] = list(split_push(newer))
+    if any(
+        _get_version(catalog, key) < version for key, version in theirs.items()
+    ):
+        messages.append(list_versions(catalog, received.buckets))
+    return tuple(messages)
+
+
+def split_push(records: Iterable[Record]) -> list[RecordPush]:
+    """Split records into pushes of a bounded size and number."""
+    known = tuple(records)
+    starts = range(0, len(known), MAX_PUSHED_RECORDS)
+    return [
+        RecordPush(known[start : start + MAX_PUSHED_RECORDS])
+        for start in starts[:MAX_PUSHES]
+    ]
+
+
+def _get_bucket(key: str) -> int:
+    return xxh3_64_intdigest(key.encode()) % BUCKET_COUNT
+
+
+def _get_version(catalog: Catalog, key: str) -> int:
+    record = catalog.records.get(key)
+    return -1 if record is None else record.version
--- a/balsamshed/configuration/routing.py
+++ b/balsamshed/configuration/routing.py
@@ -58,7 +58,10 @@
     hosts: Mapping[int, BackendServer]
 
 
-def build_routing_table(resources: Iterable[Resource]) -> RoutingTable:
+def build_routing_table(
+    resources: Iterable[Resource],
+    retired: Iterable[Resource] = (),
+) -> RoutingTable:
     """Build the look-ups for a set of resources.
 
     Backend servers of services that are not declared yet are left out, so
@@ -68,33 +71,34 @@
     ----------
     resources : iterable of Resource
         Checked resources of one group.
+    retired : iterable of Resource
+        Deleted ones. A deleted backend server takes no new flow, but keeps
+        its endpoints until a declared one claims them.
 
     Returns
     -------
     RoutingTable
         Read-only look-ups.
     """
-    known = tuple(resources)
-    services = sorted(
-        (entry for entry in known if isinstance(entry, Service)),
-        key=_get_name,
-    )
-    servers = sorted(
-        (entry for entry in known if isinstance(entry, BackendServer)),
-        key=_get_name,
-    )
+    known = sorted(resources, key=_get_name)
+    services = [entry for entry in known if isinstance(entry, Service)]
+    servers = [entry for entry in known if isinstance(entry, BackendServer)]
+    former = [entry for entry in retired if isinstance(entry, BackendServer)]
     listeners: dict[SocketAddress, Route] = {}
     endpoints: dict[SocketAddress, Route] = {}
-    hosts: dict[int, BackendServer] = {}
     for service in services:
-        own = tuple(entry for entry in servers if entry.service == service.name)
-        hosts.update({entry.host: entry for entry in own})
+        own = tuple(_select_servers(servers, service))
         for listener in service.listeners:
             route = Route(service, listener, own)
             listeners[service.address, listener.port] = route
-            endpoints.update(
-                {(entry.host, listener.port): route for entry in own}
-            )
+            _add_endpoints(endpoints, route, _select_servers(former, service))
+    # Declared backend servers go last and so replace deleted ones.
+    for declared in listeners.values():
+        _add_endpoints(endpoints, declared, declared.backend_servers)
+    names = {entry.name for entry in services}
+    hosts = {
+        server.host: server for server in servers if server.service in names
+    }
     return RoutingTable(
         MappingProxyType(listeners),
         MappingProxyType(endpoints),
@@ -102,5 +106,21 @@
     )
 
 
+def _add_endpoints(
+    endpoints: dict[SocketAddress, Route],
+    route: Route,
+    servers: Iterable[BackendServer],
+) -> None:
+    for server in servers:
+        endpoints[server.host, route.listener.port] = route
+
+
+def _select_servers(
+    servers: Iterable[BackendServer],
+    service: Service,
+) -> list[BackendServer]:
+    return [server for server in servers if server.service == service.name]
+
+
 def _get_name(resource: Resource) -> str:
     return resource.name
--- a/balsamshed/flows/packets.py
+++ b/balsamshed/flows/packets.py
@@ -76,3 +76,33 @@
     asker: str
     chain: tuple[str, ...]
     packet: Packet
+
+
+def build_flow_key(
+    caller: int,
+    address: int,
+    caller_port: int,
+    port: int,
+) -> bytes:
+    """Return the key of a flow as it stands in the caller's packets.
+
+    Parameters
+    ----------
+    caller, address : int
+        IPv4 addresses of the caller and of the service.
+    caller_port, port : int
+        TCP ports of the caller and of the listener.
+
+    Returns
+    -------
+    bytes
+        12 bytes.
+    """
+    return b''.join(
+        (
+            caller.to_bytes(4),
+            address.to_bytes(4),
+            caller_port.to_bytes(2),
+            port.to_bytes(2),
+        )
+    )
--- a/balsamshed/flows/table.py
+++ b/balsamshed/flows/table.py
@@ -10,6 +10,8 @@
 REQUEST_IDLE_SECONDS: Final = 60.0
 #: A feed without a packet of its caller for this long has ended.
 FEED_IDLE_SECONDS: Final = 3600.0
+#: A SYN without a complete handshake is unanswered after this time.
+UNANSWERED_SECONDS: Final = 1.0
 #: How long an ended flow keeps its entry for late packets.
 LINGER_SECONDS: Final = 10.0
 
@@ -45,11 +47,14 @@
         Hosts that the SYN was sent to; the last one is the current one.
     started_at : float
         Monotonic seconds of the first SYN.
+    is_counted : bool
+        Whether the missing answer was counted against the host.
     """
 
     packet: Packet
     tried: tuple[int, ...]
     started_at: float
+    is_counted: bool = False
 
 
 @dataclass(slots=True)
@@ -204,6 +209,35 @@
     return keys
 
 
+def list_unanswered(
+    table: FlowTable,
+    now: float,
+) -> list[tuple[bytes, Opening]]:
+    """List the flows whose handshake takes too long.
+
+    Openings are kept in the order of their first SYN, so the scan stops at
+    the first that has time left.
+
+    Parameters
+    ----------
+    table : FlowTable
+        Entries of one node.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    list of (bytes, Opening)
+        Flow keys and openings.
+    """
+    unanswered = []
+    for flow_key, opening in table.openings.items():
+        if now - opening.started_at < UNANSWERED_SECONDS:
+            break
+        unanswered.append((flow_key, opening))
+    return unanswered
+
+
 def is_idle(table: FlowTable, flow_key: bytes, now: float) -> bool:
     """Tell whether a flow had no packet for longer than its kind allows.
 
--- /dev/null
+++ b/balsamshed/front_ends/data_port.py
@@ -0,0 +1,150 @@
+"""Data port: packets from the fabric and from other balancers."""
+
+from collections.abc import Callable
+from typing import Final
+
+from twisted.internet.protocol import DatagramProtocol
+
+from balsamshed.codecs.packets import (
+    IPV4_FIRST_BYTE,
+    MalformedPacket,
+    decode_packet,
+    encode_reset,
+    rewrite_destination,
+    rewrite_source,
+)
+from balsamshed.codecs.relays import (
+    RELAY_FIRST_BYTE,
+    decode_relay,
+    encode_relay,
+)
+from balsamshed.front_ends.performers import EventSink, Performers
+from balsamshed.node.effects import (
+    ForwardPacket,
+    RefuseFlow,
+    ReturnPacket,
+    SendRelay,
+)
+from balsamshed.node.events import PacketReceived, RelayReceived
+
+#: Bytes that the kernel may queue for the port while the process is busy.
+RECEIVE_BUFFER_BYTES: Final = 4 * 1024 * 1024
+
+#: Host and port of a datagram's sender.
+Address = tuple[str, int]
+#: Returns the data port of a member, or none if it is not known.
+FindDataAddress = Callable[[str], Address | None]
+#: Tells whether an address is the data port of a member.
+IsPeer = Callable[[Address], bool]
+#: Counts an event by its name.
+Count = Callable[[str], None]
+
+
+class DataPort(DatagramProtocol):
+    """Socket for packets.
+
+    Parameters
+    ----------
+    fabric : tuple of (str, int)
+        The only address from which packets are taken.
+    is_peer : callable
+        Tells from which other addresses relayed packets are taken.
+    sink : callable
+        Takes events.
+    count : callable
+        Counts datagrams that are dropped.
+    """
+
+    def __init__(
+        self,
+        fabric: Address,
+        is_peer: IsPeer,
+        sink: EventSink,
+        count: Count,
+    ) -> None:
+        """Keep the functions that the socket calls."""
+        self._fabric = fabric
+        self._is_peer = is_peer
+        self._sink = sink
+        self._count = count
+
+    def datagramReceived(self, datagram: bytes, addr: Address) -> None:
+        """Decode a datagram and pass it on as an event."""
+        first_byte = datagram[0] if datagram else 0
+        if first_byte == IPV4_FIRST_BYTE and addr == self._fabric:
+            packet = decode_packet(datagram)
+            if isinstance(packet, MalformedPacket):
+                self._count(f'malformed_{packet.reason}')
+            else:
+                self._sink(PacketReceived(packet))
+        elif first_byte == RELAY_FIRST_BYTE and self._is_peer(addr):
+            relay = decode_relay(datagram)
+            if isinstance(relay, MalformedPacket):
+                self._count(f'malformed_{relay.reason}')
+            else:
+                self._sink(RelayReceived(relay))
+        else:
+            self._count('malformed_unknown_source')
+
+
+def create_packet_performers(
+    port: DataPort,
+    fabric: Address,
+    find_data_address: FindDataAddress,
+    count: Count,
+) -> Performers:
+    """Return functions that carry out the effects of the packet path.
+
+    Parameters
+    ----------
+    port : DataPort
+        Socket to send from.
+    fabric : tuple of (str, int)
+        Where packets are handed back to the fabric.
+    find_data_address : callable
+        Looks up the data port of a member.
+    count : callable
+        Counts packets that cannot be sent.
+
+    Returns
+    -------
+    dict of type to callable
+        Keyed by the effect's type.
+    """
+
+    def send(datagram: bytes | bytearray, address: Address) -> None:
+        try:
+            port.transport.write(datagram, address)
+        except OSError:
+            count('send_failed')
+
+    def forward_packet(effect: ForwardPacket) -> None:
+        packet = effect.packet
+        send(
+            rewrite_destination(packet.raw, packet.destination, effect.host),
+            fabric,
+        )
+
+    def return_packet(effect: ReturnPacket) -> None:
+        packet = effect.packet
+        send(
+            rewrite_source(packet.raw, packet.source, effect.address),
+            fabric,
+        )
+
+    def refuse_flow(effect: RefuseFlow) -> None:
+        send(encode_reset(effect.packet), fabric)
+
+    def send_relay(effect: SendRelay) -> None:
+        address = find_data_address(effect.member)
+        if address is None:
+            count('relay_to_unknown_member')
+            return
+        send(encode_relay(effect.relay), address)
+
+    return {
+        ForwardPacket: forward_packet,
+        ReturnPacket: return_packet,
+        RefuseFlow: refuse_flow,
+        SendRelay: send_relay,
+    }
--- /dev/null
+++ b/balsamshed/front_ends/load_probes.py
@@ -0,0 +1,91 @@
+"""Load probes of backend servers over HTTP."""
+
+import json
+from collections.abc import Mapping
+from typing import Any, Final
+
+from treq.client import HTTPClient
+
+from balsamshed.front_ends.performers import EventSink, Performers
+from balsamshed.node.effects import ProbeLoad
+from balsamshed.node.events import LoadProbeFailed, LoadReported
+from balsamshed.placement.messages import LoadReport
+
+#: Time limit of a probe, in seconds.
+PROBE_SECONDS: Final = 1.0
+#: Largest accepted report, in bytes.
+MAX_REPORT_BYTES: Final = 4096
+
+_MILLISECONDS: Final = 1000
+
+
+def create_probe_performers(http: HTTPClient, sink: EventSink) -> Performers:
+    """Return the function that probes a backend server.
+
+    Parameters
+    ----------
+    http : HTTPClient
+        HTTP client with a connection pool.
+    sink : callable
+        Takes the report or the failure as an event.
+
+    Returns
+    -------
+    dict of type to callable
+        Keyed by the effect's type.
+    """
+
+    def probe_load(effect: ProbeLoad) -> None:
+        def read(response: Any) -> Any:
+            if response.length > MAX_REPORT_BYTES:
+                raise ValueError('load report is too large')
+            return response.content()
+
+        def report(text: bytes) -> None:
+            sink(LoadReported(parse_report(effect.host, text)))
+
+        def fail(failure: Any) -> None:
+            sink(LoadProbeFailed(effect.host))
+
+        probe = http.get(effect.url, timeout=PROBE_SECONDS)
+        probe.addCallback(read).addCallback(report).addErrback(fail)
+
+    return {ProbeLoad: probe_load}
+
+
+def parse_report(host: int, text: bytes) -> LoadReport:
+    """Read a load report.
+
+    Parameters
+    ----------
+    host : int
+        IPv4 address of the backend server.
+    text : bytes
+        JSON document with ``in_flight``, ``queued`` and ``age_ms``.
+
+    Returns
+    -------
+    LoadReport
+        The report.
+
+    Raises
+    ------
+    ValueError
+        If the document is not a report.
+    """
+    document = json.loads(text)
+    if not isinstance(document, Mapping):
+        raise ValueError('load report is not an object')
+    return LoadReport(
+        host,
+        _read_count(document, 'in_flight'),
+        _read_count(document, 'queued'),
+        _read_count(document, 'age_ms') / _MILLISECONDS,
+    )
+
+
+def _read_count(document: Mapping[str, Any], key: str) -> int:
+    count = document.get(key)
+    if not isinstance(count, int) or count < 0:
+        raise ValueError(f'load report has {key}={count!r}, not a count')
+    return count
--- /dev/null
+++ b/balsamshed/front_ends/peer_port.py
@@ -0,0 +1,91 @@
+"""Control port: peer messages."""
+
+from typing import Final
+
+from twisted.internet.protocol import DatagramProtocol
+
+from balsamshed.codecs.peers import (
+    DecodeFault,
+    decode_envelope,
+    encode_envelope,
+)
+from balsamshed.front_ends.data_port import Address, Count
+from balsamshed.front_ends.performers import EventSink, Performers
+from balsamshed.node.effects import SendPeerMessage
+from balsamshed.node.events import PeerMessageReceived
+from balsamshed.node.messages import Envelope
+from balsamshed.node.state import Node
+
+#: Overhead of a datagram: IPv4 and UDP headers.
+HEADER_BYTES: Final = 28
+
+
+class PeerPort(DatagramProtocol):
+    """Socket for peer messages.
+
+    Parameters
+    ----------
+    key : bytes
+        Key that authenticates messages of the group.
+    sink : callable
+        Takes events.
+    count : callable
+        Counts datagrams that are dropped.
+
+    Attributes
+    ----------
+    sent_bytes, received_bytes : int
+        Control traffic with its headers.
+    """
+
+    def __init__(self, key: bytes, sink: EventSink, count: Count) -> None:
+        """Keep the functions that the socket calls."""
+        self._key = key
+        self._sink = sink
+        self._count = count
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def datagramReceived(self, datagram: bytes, addr: Address) -> None:
+        """Decode a datagram and pass it on as an event."""
+        self.received_bytes += len(datagram) + HEADER_BYTES
+        envelope = decode_envelope(datagram, self._key)
+        if isinstance(envelope, DecodeFault):
+            self._count(f'peer_message_{envelope.reason}')
+            return
+        self._sink(PeerMessageReceived(envelope, addr[0], addr[1]))
+
+    def send_envelope(self, envelope: Envelope, address: Address) -> None:
+        """Encode a message and send it."""
+        datagram = encode_envelope(envelope, self._key)
+        self.sent_bytes += len(datagram) + HEADER_BYTES
+        try:
+            self.transport.write(datagram, address)
+        except OSError:
+            self._count('peer_send_failed')
+
+
+def create_peer_performers(port: PeerPort, node: Node) -> Performers:
+    """Return the function that sends peer messages.
+
+    Parameters
+    ----------
+    port : PeerPort
+        Socket to send from.
+    node : Node
+        The sender.
+
+    Returns
+    -------
+    dict of type to callable
+        Keyed by the effect's type.
+    """
+
+    def send_peer_message(effect: SendPeerMessage) -> None:
+        own = node.membership.own
+        port.send_envelope(
+            Envelope(node.name, own.incarnation, effect.message),
+            (effect.host, effect.control_port),
+        )
+
+    return {SendPeerMessage: send_peer_message}
--- /dev/null
+++ b/balsamshed/front_ends/process.py
@@ -0,0 +1,253 @@
+"""Balancer process: one node, its sockets and its timer on one reactor."""
+
+import random
+import resource
+import signal
+import socket
+import time
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+from typing import Any, Final
+
+from twisted.internet import reactor
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.task import LoopingCall
+
+from balsamshed.front_ends.data_port import (
+    RECEIVE_BUFFER_BYTES,
+    Address,
+    DataPort,
+    create_packet_performers,
+)
+from balsamshed.front_ends.load_probes import create_probe_performers
+from balsamshed.front_ends.metrics import (
+    Metrics,
+    create_metrics,
+    create_metrics_site,
+)
+from balsamshed.front_ends.peer_port import PeerPort, create_peer_performers
+from balsamshed.front_ends.performers import (
+    EventSink,
+    Performers,
+    create_event_sink,
+)
+from balsamshed.front_ends.store_client import create_http, create_store_client
+from balsamshed.front_ends.store_port import create_store_performers
+from balsamshed.logs.events import log_event
+from balsamshed.members.member import Member
+from balsamshed.node.dispatch import handle_event
+from balsamshed.node.effects import (
+    CountEvent,
+    Drop,
+    Effect,
+    LogEvent,
+    Stop,
+)
+from balsamshed.node.events import Event, LeaveRequested, Ticked
+from balsamshed.node.state import Node, create_node
+from balsamshed.settings.balancer import BalancerSettings
+
+#: Time between ticks: copies of flow entries wait at most this long.
+TICK_SECONDS: Final = 0.05
+#: Ticks between updates of gauges.
+GAUGE_TICKS: Final = 20
+
+_KIBIBYTE: Final = 1024
+
+
+def run_balancer(settings: BalancerSettings) -> None:
+    """Run a balancer until it is asked to stop.
+
+    SIGTERM and SIGINT start a graceful stop.
+
+    Parameters
+    ----------
+    settings : BalancerSettings
+        Checked settings.
+    """
+    node = _create_node(settings)
+    metrics = create_metrics()
+    performers: Performers = {}
+    sink = create_event_sink(_create_decider(node), performers)
+    with _open_ports(settings, node, metrics, sink, performers):
+        performers.update(_create_process_performers(metrics))
+        http = create_http(reactor)
+        client = create_store_client(settings.store_url, http, reactor)
+        performers.update(create_store_performers(client, sink))
+        performers.update(create_probe_performers(http, sink))
+        _install_signals(sink)
+        _start_ticks(node, metrics, sink)
+        log_event(
+            'started',
+            name=settings.name,
+            group=settings.group,
+            data_centre=settings.data_centre,
+            data_port=settings.data_port,
+            control_port=settings.control_port,
+        )
+        reactor.run(installSignalHandlers=False)
+    log_event('stopped', name=settings.name)
+
+
+def _create_node(settings: BalancerSettings) -> Node:
+    own = Member(
+        settings.name,
+        settings.data_centre,
+        settings.host,
+        settings.data_port,
+        settings.control_port,
+    )
+    seeds = [(peer.host, peer.port) for peer in settings.peers]
+    return create_node(
+        own,
+        settings.group,
+        seeds,
+        random.SystemRandom().randrange,
+        time.monotonic(),
+        time.time(),
+    )
+
+
+def _create_decider(node: Node) -> Callable[[Event], Iterable[Effect]]:
+    read_clock = time.monotonic
+
+    def decide(event: Event) -> Iterable[Effect]:
+        return handle_event(node, event, read_clock())
+
+    return decide
+
+
+@contextmanager
+def _open_ports(
+    settings: BalancerSettings,
+    node: Node,
+    metrics: Metrics,
+    sink: EventSink,
+    performers: Performers,
+) -> Iterator[None]:
+    fabric = (settings.fabric.host, settings.fabric.port)
+    count = metrics.count_drop
+
+    def find_data_address(name: str) -> Address | None:
+        member = node.membership.peers.get(name)
+        return None if member is None else (member.host, member.data_port)
+
+    def is_peer(address: Address) -> bool:
+        return any(
+            (member.host, member.data_port) == address
+            for member in node.membership.peers.values()
+        )
+
+    data_port = DataPort(fabric, is_peer, sink, count)
+    peer_port = PeerPort(settings.peer_key, sink, count)
+    performers.update(
+        create_packet_performers(data_port, fabric, find_data_address, count),
+    )
+    performers.update(create_peer_performers(peer_port, node))
+    site = create_metrics_site(metrics, lambda: _is_ready(node))
+    listening = [
+        reactor.listenUDP(
+            settings.data_port,
+            data_port,
+            settings.host,
+            maxPacketSize=65536,
+        ),
+        reactor.listenUDP(
+            settings.control_port,
+            peer_port,
+            settings.host,
+            maxPacketSize=65536,
+        ),
+        reactor.listenTCP(
+            settings.metrics_port,
+            site,
+            interface=settings.host,
+        ),
+    ]
+    _enlarge_buffer(listening[0])
+    try:
+        yield
+    finally:
+        for port in listening:
+            port.stopListening()
+
+
+def _enlarge_buffer(port: IListeningPort) -> None:
+    port.socket.setsockopt(
+        socket.SOL_SOCKET,
+        socket.SO_RCVBUF,
+        RECEIVE_BUFFER_BYTES,
+    )
+
+
+def _is_ready(node: Node) -> bool:
+    return bool(node.catalog.records) and not node.is_leaving
+
+
+def _create_process_performers(metrics: Metrics) -> Performers:
+    def write_log(effect: LogEvent) -> None:
+        log_event(effect.name, **effect.fields)
+
+    def count_event(effect: CountEvent) -> None:
+        metrics.count_event(effect.name)
+
+    def count_drop(effect: Drop) -> None:
+        metrics.count_drop(effect.reason)
+
+    def stop(effect: Stop) -> None:
+        if reactor.running:
+            reactor.stop()
+
+    return {
+        LogEvent: write_log,
+        CountEvent: count_event,
+        Drop: count_drop,
+        Stop: stop,
+    }
+
+
+def _install_signals(sink: EventSink) -> None:
+    def request_leave(number: int, frame: Any) -> None:
+        reactor.callFromThread(sink, LeaveRequested())
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, request_leave)
+
+
+def _start_ticks(node: Node, metrics: Metrics, sink: EventSink) -> None:
+    due_at = time.monotonic()
+    ticks = 0
+
+    def tick() -> None:
+        nonlocal due_at, ticks
+        now = time.monotonic()
+        delay = max(now - due_at, 0)
+        due_at = now + TICK_SECONDS
+        sink(Ticked(time.time(), delay))
+        ticks += 1
+        if ticks % GAUGE_TICKS == 0:
+            _set_gauges(node, metrics.set_gauge, delay)
+
+    LoopingCall(tick).start(TICK_SECONDS)
+
+
+def _set_gauges(
+    node: Node,
+    set_gauge: Callable[[str, float], None],
+    delay: float,
+) -> None:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    gauges = {
+        'balsamshed_members': len(node.reachable),
+        'balsamshed_flows_open': len(node.flows.placements),
+        'balsamshed_copies_pending': sum(
+            map(len, node.copies.pending.values()),
+        ),
+        'balsamshed_catalog_highest_version': node.catalog.highest_version,
+        'balsamshed_records_rejected': len(node.catalog.rejections),
+        'balsamshed_resident_memory_bytes': usage.ru_maxrss * _KIBIBYTE,
+        'balsamshed_cpu_seconds': usage.ru_utime + usage.ru_stime,
+        'balsamshed_loop_delay_seconds': delay,
+    }
+    for name, amount in gauges.items():
+        set_gauge(name, amount)
--- /dev/null
+++ b/balsamshed/node/dispatch.py
@@ -0,0 +1,102 @@
+"""Entry point of the decisions: an event in, its effects out."""
+
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any
+
+from balsamshed.node.effects import Effect
+from balsamshed.node.events import (
+    Event,
+    LeaveRequested,
+    LoadProbeFailed,
+    LoadReported,
+    PacketReceived,
+    PeerMessageReceived,
+    RecordsChanged,
+    RecordsListed,
+    RecordWritten,
+    RelayReceived,
+    StoreFailed,
+    Ticked,
+    VmsListed,
+    WatchExpired,
+    WriteConflicted,
+)
+from balsamshed.node.peers import handle_peer_message
+from balsamshed.node.state import Node
+from balsamshed.node.store import (
+    handle_changes,
+    handle_conflict,
+    handle_expiry,
+    handle_failure,
+    handle_list,
+    handle_vms,
+    handle_written,
+)
+from balsamshed.node.traffic import handle_packet, handle_relay
+from balsamshed.node.upkeep import handle_leave_request, handle_tick
+from balsamshed.placement.board import record_report
+
+Effects = tuple[Effect, ...]
+
+
+def handle_event(node: Node, event: Event, now: float) -> Effects:
+    """Decide what follows from an event.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    event : Event
+        What happened.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        What is to be done, in this order.
+    """
+    return _HANDLERS[type(event)](node, event, now)
+
+
+def _handle_load_report(
+    node: Node,
+    event: LoadReported,
+    now: float,
+) -> Effects:
+    if event.report.host in node.routing.hosts:
+        record_report(node.board, event.report, now)
+        node.fresh_reports[event.report.host] = (event.report, now)
+    return ()
+
+
+def _handle_probe_failure(
+    node: Node,
+    event: LoadProbeFailed,
+    now: float,
+) -> Effects:
+    # Reports that stop lose their weight with age; nothing else follows.
+    return ()
+
+
+_HANDLERS: Mapping[type[Any], Callable[[Node, Any, float], Effects]] = (
+    MappingProxyType(
+        {
+            PacketReceived: handle_packet,
+            RelayReceived: handle_relay,
+            PeerMessageReceived: handle_peer_message,
+            RecordsListed: handle_list,
+            RecordsChanged: handle_changes,
+            WatchExpired: handle_expiry,
+            RecordWritten: handle_written,
+            WriteConflicted: handle_conflict,
+            StoreFailed: handle_failure,
+            VmsListed: handle_vms,
+            LoadReported: _handle_load_report,
+            LoadProbeFailed: _handle_probe_failure,
+            LeaveRequested: handle_leave_request,
+            Ticked: handle_tick,
+        }
+    )
+)
--- a/balsamshed/node/effects.py
+++ b/balsamshed/node/effects.py
@@ -1,15 +1,12 @@
 """What a node wants to be done."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
-from types import MappingProxyType
-from typing import Any, Final
+from dataclasses import dataclass, field
+from typing import Any
 
 from balsamshed.flows.packets import Packet, Relay
 from balsamshed.node.messages import PeerMessage
 
-_NO_FIELDS: Final = MappingProxyType({})
-
 
 @dataclass(frozen=True, slots=True)
 class ForwardPacket:
@@ -103,7 +100,7 @@
     """Write a log line."""
 
     name: str
-    fields: Mapping[str, Any] = _NO_FIELDS
+    fields: Mapping[str, Any] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/balsamshed/node/openings.py
@@ -0,0 +1,276 @@
+"""Opening of flows: admission, placement, refusals and further tries."""
+
+from typing import Final
+
+from balsamshed.configuration.resources import BackendServer, ListenerKind
+from balsamshed.configuration.routing import Route
+from balsamshed.configuration.schedules import takes_new_work
+from balsamshed.flows.copies import has_allowance, queue_copy
+from balsamshed.flows.messages import FlowCopy
+from balsamshed.flows.packets import Packet, build_flow_key
+from balsamshed.flows.table import Opening, add_flow, get_placement
+from balsamshed.limits.limiter import Outcome, Refused, admit, adopt, release
+from balsamshed.limits.retries import (
+    RetryBudget,
+    record_success,
+    take_retry,
+)
+from balsamshed.members.ownership import get_hash_slot
+from balsamshed.node.effects import (
+    CountEvent,
+    Drop,
+    Effect,
+    ForwardPacket,
+    RefuseFlow,
+    ReturnPacket,
+)
+from balsamshed.node.releases import forget_flow, get_limiter, release_flow
+from balsamshed.node.state import Node
+from balsamshed.placement.board import (
+    record_accepted,
+    record_opened,
+    record_refused,
+)
+from balsamshed.placement.policy import NoBackendServer
+
+#: Further backend servers that a refused SYN is sent to.
+MAX_RETRIES: Final = 2
+
+Effects = tuple[Effect, ...]
+
+
+def open_flow(
+    node: Node,
+    packet: Packet,
+    route: Route,
+    now: float,
+) -> Effects:
+    """Place a new flow, or refuse it before anything was forwarded.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place; it owns the flow.
+    packet : Packet
+        The SYN.
+    route : Route
+        The listener that it was sent to.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        The forwarded SYN, or its refusal.
+    """
+    if route.listener.work_class in node.overload.refused:
+        return (RefuseFlow(packet), CountEvent('refused_overload'))
+    limiter = get_limiter(node, route)
+    admission = admit(limiter, now)
+    if isinstance(admission, Refused):
+        return (RefuseFlow(packet), CountEvent('refused_limit'))
+    wall_time = now + node.wall_offset
+    choice = node.policy(route, packet.flow_key, now, wall_time)
+    if isinstance(choice, NoBackendServer):
+        release(limiter, 0, Outcome.CANCELLED, now)
+        return (RefuseFlow(packet), CountEvent('refused_no_backend_server'))
+    server = choice.candidates[0]
+    opening = Opening(packet, (server.host,), now)
+    return _place_flow(node, route, server, opening, choice.is_default)
+
+
+def repeat_opening(
+    node: Node,
+    packet: Packet,
+    route: Route,
+    now: float,
+) -> Effects:
+    """Send a repeated SYN where the first one went.
+
+    The entry of an ended flow is used again only while its backend server
+    takes new work, since the same key may open a new flow.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place; it holds the flow's entry.
+    packet : Packet
+        The SYN.
+    route : Route
+        The listener that it was sent to.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        The forwarded SYN, or its refusal.
+    """
+    flow_key = packet.flow_key
+    if flow_key in node.flows.ended:
+        forget_flow(node, flow_key, Outcome.UNKNOWN, now)
+        return open_flow(node, packet, route, now)
+    opening = node.flows.openings.get(flow_key)
+    if opening is not None and now - opening.started_at > 1:
+        moved = _move_unanswered(node, opening, route, now)
+        if moved:
+            return moved
+    return (ForwardPacket(packet, node.flows.placements[flow_key].host),)
+
+
+def note_accepted(
+    node: Node,
+    flow_key: bytes,
+    route: Route,
+    now: float,
+) -> None:
+    """Note that a handshake is complete.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    flow_key : bytes
+        Key of a flow whose opening is known.
+    route : Route
+        The listener that it was sent to.
+    now : float
+        Monotonic seconds.
+    """
+    node.flows.openings.pop(flow_key)
+    host = node.flows.placements[flow_key].host
+    record_accepted(node.board, host, now)
+    record_success(_get_retry_budget(node, route))
+
+
+def handle_refusal(node: Node, packet: Packet, now: float) -> Effects:
+    """Decide on an RST with which a backend server answered a SYN.
+
+    Nothing has run, so the SYN may go to another backend server.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place; it owns the flow.
+    packet : Packet
+        The RST.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        The SYN for another backend server, or the RST for the caller.
+    """
+    route = node.routing.endpoints.get((packet.source, packet.source_port))
+    if route is None:
+        return (Drop('no_route_for_refusal'),)
+    flow_key = build_flow_key(
+        packet.destination,
+        route.service.address,
+        packet.destination_port,
+        packet.source_port,
+    )
+    opening = node.flows.openings.get(flow_key)
+    if opening is None or opening.tried[-1] != packet.source:
+        # A late answer to a SYN that was moved or is answered already.
+        return (Drop('refusal_out_of_date'),)
+    record_refused(node.board, packet.source, now)
+    retried = _retry_opening(node, opening, route, now)
+    if retried:
+        return retried
+    forget_flow(node, flow_key, Outcome.SHED, now)
+    returned = ReturnPacket(packet, route.service.address)
+    return (returned, CountEvent('refused_by_backend_server'))
+
+
+def _retry_opening(
+    node: Node,
+    opening: Opening,
+    route: Route,
+    now: float,
+) -> Effects:
+    is_late = now - opening.started_at > route.listener.deadline_seconds
+    if is_late or len(opening.tried) > MAX_RETRIES:
+        return ()
+    server = _choose_untried(node, opening, route, now)
+    if server is None or not take_retry(_get_retry_budget(node, route)):
+        return ()
+    flow_key = opening.packet.flow_key
+    release_flow(node, flow_key, Outcome.SHED, now)
+    adopt(get_limiter(node, route))
+    moved = Opening(
+        opening.packet,
+        (*opening.tried, server.host),
+        opening.started_at,
+    )
+    placed = _place_flow(node, route, server, moved, is_default=False)
+    return (*placed, CountEvent('opening_retried'))
+
+
+def _move_unanswered(
+    node: Node,
+    opening: Opening,
+    route: Route,
+    now: float,
+) -> Effects:
+    wall_time = now + node.wall_offset
+    choice = node.policy(route, opening.packet.flow_key, now, wall_time)
+    if isinstance(choice, NoBackendServer):
+        return ()
+    usable = {server.host for server in choice.candidates}
+    if opening.tried[-1] in usable:
+        return ()
+    return _retry_opening(node, opening, route, now)
+
+
+def _choose_untried(
+    node: Node,
+    opening: Opening,
+    route: Route,
+    now: float,
+) -> BackendServer | None:
+    wall_time = now + node.wall_offset
+    choice = node.policy(route, opening.packet.flow_key, now, wall_time)
+    if isinstance(choice, NoBackendServer):
+        return None
+    for server in choice.candidates:
+        is_tried = server.host in opening.tried
+        if not is_tried and takes_new_work(server, wall_time):
+            return server
+    return None
+
+
+def _place_flow(
+    node: Node,
+    route: Route,
+    server: BackendServer,
+    opening: Opening,
+    is_default: bool,
+) -> Effects:
+    flow_key = opening.packet.flow_key
+    is_feed = route.listener.kind is ListenerKind.FEED
+    is_wanted = is_feed or not is_default
+    is_copied = is_wanted and (is_feed or has_allowance(node.copies))
+    placement = get_placement(
+        server.host,
+        is_feed=is_feed,
+        is_copied=is_copied,
+    )
+    add_flow(node.flows, flow_key, placement, opening)
+    record_opened(node.board, server.host, route.listener.kind)
+    forwarded = ForwardPacket(opening.packet, server.host)
+    if is_copied:
+        backup = node.ownership.backups[get_hash_slot(flow_key)]
+        queue_copy(node.copies, backup, FlowCopy(flow_key, server.host))
+    elif is_wanted:
+        return (forwarded, CountEvent('flow_unprotected'))
+    return (forwarded,)
+
+
+def _get_retry_budget(node: Node, route: Route) -> RetryBudget:
+    budget = node.retries.get(route.name)
+    if budget is None:
+        budget = RetryBudget()
+        node.retries[route.name] = budget
+    return budget
--- /dev/null
+++ b/balsamshed/node/ownership.py
@@ -0,0 +1,113 @@
+"""Changes of ownership and the entries that move with it."""
+
+from itertools import islice
+from typing import Final
+
+from balsamshed.flows.copies import drop_member, queue_copy
+from balsamshed.flows.messages import FlowCopy
+from balsamshed.flows.table import Placement
+from balsamshed.limits.limiter import Outcome, adopt
+from balsamshed.members.history import replace_ownership
+from balsamshed.members.membership import list_owners, list_reachable
+from balsamshed.members.ownership import get_hash_slot
+from balsamshed.node.effects import Effect, LogEvent
+from balsamshed.node.releases import (
+    find_route,
+    get_limiter,
+    release_flow,
+)
+from balsamshed.node.state import Node
+from balsamshed.placement.board import record_opened, set_member_count
+
+#: Entries checked in one tick after a membership change: about 2 ms.
+HANDOFF_ENTRIES: Final = 2000
+
+
+def update_ownership(node: Node, now: float) -> tuple[Effect, ...]:
+    """Assign the hash slots to the members that are alive now.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        A log line.
+    """
+    node.view_version = node.membership.view_version
+    owners = list_owners(node.membership)
+    reachable = list_reachable(node.membership)
+    node.reachable = frozenset(member.name for member in reachable)
+    for target in node.copies.pending.keys() | node.copies.in_flight.keys():
+        if target not in node.reachable:
+            drop_member(node.copies, target)
+    set_member_count(node.board, max(len(owners), 1))
+    if owners and replace_ownership(node.history, owners, now):
+        node.handoff = iter(tuple(node.flows.placements.items()))
+    fields = {
+        'owners': len(owners),
+        'reachable': len(reachable),
+        'members': ','.join(sorted(member.name for member in owners)),
+    }
+    return (LogEvent('members_changed', fields),)
+
+
+def hand_off_entries(node: Node, limit: int, now: float) -> None:
+    """Bring some entries to their new owner and backup.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    limit : int
+        Entries to check at most.
+    now : float
+        Monotonic seconds.
+    """
+    for flow_key, placement in islice(node.handoff, limit):
+        is_open = flow_key not in node.flows.ended
+        if placement.is_copied and is_open:
+            _hand_off(node, flow_key, placement, now)
+
+
+def _hand_off(
+    node: Node,
+    flow_key: bytes,
+    placement: Placement,
+    now: float,
+) -> None:
+    slot = get_hash_slot(flow_key)
+    owner = node.ownership.owners[slot]
+    backup = node.ownership.backups[slot]
+    copy = FlowCopy(flow_key, placement.host)
+    if owner == node.name:
+        _count_flow(node, flow_key, placement, now)
+        queue_copy(node.copies, backup, copy)
+        return
+    former = node.history.former[0].ownership
+    was_owner = former.owners[slot] == node.name
+    owner_is_gone = former.owners[slot] not in node.reachable
+    if was_owner:
+        release_flow(node, flow_key, Outcome.UNKNOWN, now)
+    if was_owner or owner_is_gone:
+        queue_copy(node.copies, owner, copy)
+        if backup != node.name:
+            queue_copy(node.copies, backup, copy)
+
+
+def _count_flow(
+    node: Node,
+    flow_key: bytes,
+    placement: Placement,
+    now: float,
+) -> None:
+    route = find_route(node, flow_key)
+    if route is None or flow_key in node.flows.opened_at:
+        return
+    node.flows.opened_at[flow_key] = now
+    record_opened(node.board, placement.host, route.listener.kind)
+    adopt(get_limiter(node, route))
--- /dev/null
+++ b/balsamshed/node/peers.py
@@ -0,0 +1,217 @@
+"""Peer messages."""
+
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any
+
+from balsamshed.configuration.messages import (
+    BucketDigests,
+    BucketVersions,
+    RecordPush,
+)
+from balsamshed.flows.copies import accept_batch, acknowledge_batch
+from balsamshed.flows.messages import FlowCopies, FlowCopiesAck, FlowCopy
+from balsamshed.flows.table import adopt_flow, get_placement, remove_flow
+from balsamshed.limits.limiter import adopt
+from balsamshed.members.membership import Outgoing
+from balsamshed.members.messages import Ack, Ping, PingRequest
+from balsamshed.members.ownership import get_hash_slot
+from balsamshed.members.protocol import (
+    handle_ack,
+    handle_ping,
+    handle_ping_request,
+)
+from balsamshed.node.effects import Effect, SendPeerMessage
+from balsamshed.node.events import PeerMessageReceived
+from balsamshed.node.messages import PeerMessage
+from balsamshed.node.records import (
+    answer_bucket_versions,
+    answer_digests,
+    compare_catalogs,
+    learn_records,
+)
+from balsamshed.node.releases import find_route, get_limiter
+from balsamshed.node.state import Node
+from balsamshed.placement.board import record_opened, record_report
+from balsamshed.placement.messages import LoadReports
+
+Effects = tuple[Effect, ...]
+Responder = Callable[[Node, PeerMessageReceived, Any, float], Effects]
+
+
+def handle_peer_message(
+    node: Node,
+    event: PeerMessageReceived,
+    now: float,
+) -> Effects:
+    """Decide on a message of another member.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    event : PeerMessageReceived
+        The message and where it came from.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        Answers and whatever else follows.
+    """
+    if event.envelope.sender == node.name:
+        return ()
+    message = event.envelope.message
+    return _RESPONDERS[type(message)](node, event, message, now)
+
+
+def send_outgoing(outgoing: Outgoing) -> SendPeerMessage:
+    """Return the effect that sends a message of the membership protocol."""
+    return SendPeerMessage(
+        outgoing.host,
+        outgoing.control_port,
+        outgoing.message,
+    )
+
+
+def _answer(
+    event: PeerMessageReceived,
+    *messages: PeerMessage,
+) -> Effects:
+    return tuple(
+        SendPeerMessage(event.host, event.control_port, message)
+        for message in messages
+    )
+
+
+def _handle_ping(
+    node: Node,
+    event: PeerMessageReceived,
+    message: Ping,
+    now: float,
+) -> Effects:
+    outgoing = handle_ping(node.membership, message, now)
+    return (
+        *map(send_outgoing, outgoing),
+        *compare_catalogs(node, message.updates[0], message.catalog, now),
+    )
+
+
+def _handle_ack(
+    node: Node,
+    event: PeerMessageReceived,
+    message: Ack,
+    now: float,
+) -> Effects:
+    outgoing = handle_ack(node.membership, message, now)
+    return (
+        *map(send_outgoing, outgoing),
+        *compare_catalogs(node, message.updates[0], message.catalog, now),
+    )
+
+
+def _handle_ping_request(
+    node: Node,
+    event: PeerMessageReceived,
+    message: PingRequest,
+    now: float,
+) -> Effects:
+    outgoing = handle_ping_request(node.membership, message, now)
+    return tuple(map(send_outgoing, outgoing))
+
+
+def _handle_record_push(
+    node: Node,
+    event: PeerMessageReceived,
+    message: RecordPush,
+    now: float,
+) -> Effects:
+    return learn_records(node, message.records, now)
+
+
+def _handle_bucket_digests(
+    node: Node,
+    event: PeerMessageReceived,
+    message: BucketDigests,
+    now: float,
+) -> Effects:
+    return _answer(event, *answer_digests(node, message))
+
+
+def _handle_bucket_versions(
+    node: Node,
+    event: PeerMessageReceived,
+    message: BucketVersions,
+    now: float,
+) -> Effects:
+    return _answer(event, *answer_bucket_versions(node, message))
+
+
+def _handle_flow_copies(
+    node: Node,
+    event: PeerMessageReceived,
+    message: FlowCopies,
+    now: float,
+) -> Effects:
+    if accept_batch(node.copies, event.envelope.sender, message):
+        for copy in message.copies:
+            _apply_copy(node, copy, now)
+    return _answer(event, FlowCopiesAck(message.sequence))
+
+
+def _handle_flow_copies_ack(
+    node: Node,
+    event: PeerMessageReceived,
+    message: FlowCopiesAck,
+    now: float,
+) -> Effects:
+    sender = event.envelope.sender
+    acknowledge_batch(node.copies, sender, message.sequence)
+    return ()
+
+
+def _handle_load_reports(
+    node: Node,
+    event: PeerMessageReceived,
+    message: LoadReports,
+    now: float,
+) -> Effects:
+    for report in message.reports:
+        if report.host in node.routing.hosts:
+            record_report(node.board, report, now)
+    return ()
+
+
+def _apply_copy(node: Node, copy: FlowCopy, now: float) -> None:
+    flow_key = copy.flow_key
+    is_owner = node.ownership.owners[get_hash_slot(flow_key)] == node.name
+    if is_owner and flow_key in node.flows.placements:
+        # The owner's own entry is newer than any copy.
+        return
+    if not copy.host:
+        remove_flow(node.flows, flow_key)
+        return
+    route = find_route(node, flow_key)
+    is_feed = route is not None and route.listener.kind == 'feed'
+    placement = get_placement(copy.host, is_feed=is_feed, is_copied=True)
+    adopt_flow(node.flows, flow_key, placement, now)
+    if is_owner and route is not None:
+        node.flows.opened_at[flow_key] = now
+        record_opened(node.board, copy.host, route.listener.kind)
+        adopt(get_limiter(node, route))
+
+
+_RESPONDERS: Mapping[type[Any], Responder] = MappingProxyType(
+    {
+        Ping: _handle_ping,
+        Ack: _handle_ack,
+        PingRequest: _handle_ping_request,
+        RecordPush: _handle_record_push,
+        BucketDigests: _handle_bucket_digests,
+        BucketVersions: _handle_bucket_versions,
+        FlowCopies: _handle_flow_copies,
+        FlowCopiesAck: _handle_flow_copies_ack,
+        LoadReports: _handle_load_reports,
+    }
+)
--- /dev/null
+++ b/balsamshed/node/records.py
@@ -0,0 +1,243 @@
+"""Records from the store and from peers."""
+
+from collections.abc import Iterable
+from typing import Any, Final
+
+from balsamshed.audit.trail import build_audit_records
+from balsamshed.configuration.catalog import (
+    Record,
+    derive_routing_table,
+    merge_records,
+)
+from balsamshed.configuration.gossip import (
+    answer_versions,
+    compare_buckets,
+    split_push,
+    summarize_buckets,
+)
+from balsamshed.configuration.messages import (
+    BucketDigests,
+    BucketVersions,
+    RecordPush,
+)
+from balsamshed.flows.derivation import CandidateList, note_candidates
+from balsamshed.members.member import Member
+from balsamshed.members.membership import (
+    list_owners,
+    list_reachable_peers,
+    set_catalog,
+)
+from balsamshed.members.messages import CatalogDigest
+from balsamshed.members.ownership import rank_members
+from balsamshed.members.readers import choose_readers
+from balsamshed.node.effects import (
+    Effect,
+    LogEvent,
+    SendPeerMessage,
+    WriteRecord,
+)
+from balsamshed.node.state import Node
+from balsamshed.placement.board import observe_servers
+from balsamshed.placement.candidates import list_usable
+
+#: Members that a node sends newly learned records to.
+FAN_OUT: Final = 3
+#: Two members compare their catalogs at most this often.
+SYNC_INTERVAL_SECONDS: Final = 0.5
+
+Effects = tuple[Effect, ...]
+
+
+def learn_records(
+    node: Node,
+    records: Iterable[Record],
+    now: float,
+) -> Effects:
+    """Apply the records that are newer than the known ones and spread them.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    records : iterable of Record
+        Records from the store or from a peer.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        Messages to other members, log lines and audit objects.
+    """
+    known = {key: entry.version for key, entry in node.catalog.records.items()}
+    taken = merge_records(node.catalog, records)
+    if not taken:
+        return ()
+    apply_catalog(node, now)
+    return (
+        *(_describe_record(node, record) for record in taken),
+        *_spread(node, taken),
+        *_write_audit(node, taken, known),
+    )
+
+
+def apply_catalog(node: Node, now: float) -> None:
+    """Bring everything that is derived from the catalog up to date.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    now : float
+        Monotonic seconds.
+    """
+    node.routing = derive_routing_table(node.catalog)
+    digest = CatalogDigest(node.catalog.digest, node.catalog.highest_version)
+    set_catalog(node.membership, digest, now)
+    for route in node.routing.listeners.values():
+        observe_servers(
+            node.board,
+            route.service.name,
+            route.backend_servers,
+            now,
+        )
+    note_all_candidates(node, now)
+    assign_probes(node)
+
+
+def note_all_candidates(node: Node, now: float) -> tuple[str, ...]:
+    """Note which backend servers take new work now.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of str
+        Names of the routes whose candidates changed.
+    """
+    wall_time = now + node.wall_offset
+    changed = []
+    for route in node.routing.listeners.values():
+        hosts = tuple(server.host for server in list_usable(route, wall_time))
+        entry = CandidateList(route, hosts, wall_time, now, float('inf'))
+        if note_candidates(node.candidates, entry):
+            changed.append(route.name)
+    return tuple(changed)
+
+
+def assign_probes(node: Node) -> None:
+    """Choose the backend servers whose load this node probes."""
+    members = list_owners(node.membership)
+    node.wanted_probes = tuple(
+        server
+        for server in node.routing.hosts.values()
+        if server.load_url
+        and members
+        and rank_members(members, server.name)[0].name == node.name
+    )
+
+
+def compare_catalogs(
+    node: Node,
+    sender: Member,
+    catalog: CatalogDigest,
+    now: float,
+) -> Effects:
+    """Start a comparison if a member's catalog differs from the own one.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    sender : Member
+        The other member.
+    catalog : CatalogDigest
+        What it has.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        The digests of the own buckets, or nothing.
+    """
+    if catalog.digest == node.catalog.digest:
+        return ()
+    last = node.synced_at.get(sender.name, float('-inf'))
+    if now - last < SYNC_INTERVAL_SECONDS:
+        return ()
+    node.synced_at[sender.name] = now
+    message = summarize_buckets(node.catalog)
+    return (SendPeerMessage(sender.host, sender.control_port, message),)
+
+
+def answer_digests(
+    node: Node,
+    received: BucketDigests,
+) -> tuple[BucketVersions, ...]:
+    """Answer digests with the versions in the buckets that differ."""
+    versions = compare_buckets(node.catalog, received)
+    return () if versions is None else (versions,)
+
+
+def answer_bucket_versions(
+    node: Node,
+    received: BucketVersions,
+) -> tuple[RecordPush | BucketVersions, ...]:
+    """Answer versions with newer records and a request for newer ones."""
+    return answer_versions(node.catalog, received)
+
+
+def is_reader(node: Node) -> bool:
+    """Tell whether this node watches the store for its data centre."""
+    return node.name in _choose_readers(node)
+
+
+def is_first_reader(node: Node) -> bool:
+    """Tell whether this node writes status and audit for its data centre."""
+    return _choose_readers(node)[:1] == (node.name,)
+
+
+def _choose_readers(node: Node) -> tuple[str, ...]:
+    return choose_readers(list_owners(node.membership), node.data_centre)
+
+
+def _describe_record(node: Node, record: Record) -> LogEvent:
+    fields: dict[str, Any] = {'key': record.key, 'version': record.version}
+    rejection = node.catalog.rejections.get(record.key)
+    if rejection is None:
+        return LogEvent('record_in_force', fields)
+    fields['findings'] = len(rejection.findings)
+    fields['first_place'] = rejection.findings[0].place
+    return LogEvent('record_rejected', fields)
+
+
+def _spread(node: Node, records: tuple[Record, ...]) -> list[SendPeerMessage]:
+    peers = list_reachable_peers(node.membership)
+    targets: list[Member] = []
+    while peers and len(targets) < FAN_OUT:
+        targets.append(peers.pop(node.membership.draw(len(peers))))
+    return [
+        SendPeerMessage(target.host, target.control_port, push)
+        for push in split_push(records)
+        for target in targets
+    ]
+
+
+def _write_audit(
+    node: Node,
+    records: tuple[Record, ...],
+    known: dict[str, int],
+) -> list[WriteRecord]:
+    if not is_first_reader(node):
+        return []
+    return [
+        WriteRecord(entry.key, entry.body, 0)
+        for record in records
+        for entry in build_audit_records(record, known.get(record.key, 0))
+    ]
--- /dev/null
+++ b/balsamshed/node/releases.py
@@ -0,0 +1,106 @@
+"""Ends of flows: what their end tells limits, load and backup."""
+
+from balsamshed.configuration.routing import Route
+from balsamshed.flows.copies import queue_copy
+from balsamshed.flows.messages import FlowCopy
+from balsamshed.flows.table import remove_flow
+from balsamshed.limits.limiter import Limiter, Outcome, create_limiter, release
+from balsamshed.members.ownership import get_hash_slot
+from balsamshed.node.state import Node
+from balsamshed.placement.board import record_closed
+
+
+def find_route(node: Node, flow_key: bytes) -> Route | None:
+    """Return the route of a flow, if it is still declared.
+
+    Parameters
+    ----------
+    node : Node
+        Holds the routing table.
+    flow_key : bytes
+        Key of the flow.
+
+    Returns
+    -------
+    Route or None
+        The route of the listener that the flow was opened on.
+    """
+    address = int.from_bytes(flow_key[4:8])
+    port = int.from_bytes(flow_key[10:12])
+    return node.routing.listeners.get((address, port))
+
+
+def get_limiter(node: Node, route: Route) -> Limiter:
+    """Return the limiter of a route, made on first use."""
+    limiter = node.limiters.get(route.name)
+    if limiter is None:
+        slots = sum(server.slots for server in route.backend_servers)
+        limiter = create_limiter(
+            route.listener.kind, slots / max(len(node.reachable), 1)
+        )
+        node.limiters[route.name] = limiter
+    return limiter
+
+
+def release_flow(
+    node: Node,
+    flow_key: bytes,
+    outcome: Outcome,
+    now: float,
+) -> None:
+    """Tell limits and load once that a flow has ended.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    flow_key : bytes
+        Key of a flow in the table.
+    outcome : Outcome
+        How it ended.
+    now : float
+        Monotonic seconds.
+    """
+    opened_at = node.flows.opened_at.pop(flow_key, None)
+    route = find_route(node, flow_key)
+    if opened_at is None or route is None:
+        return
+    placement = node.flows.placements[flow_key]
+    duration = now - opened_at
+    record_closed(
+        node.board,
+        placement.host,
+        route.listener.kind,
+        now,
+        duration if outcome is Outcome.FINISHED else None,
+    )
+    release(get_limiter(node, route), duration, outcome, now)
+
+
+def forget_flow(
+    node: Node,
+    flow_key: bytes,
+    outcome: Outcome,
+    now: float,
+) -> None:
+    """Remove a flow, also from the backup.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    flow_key : bytes
+        Key of a flow in the table.
+    outcome : Outcome
+        How it ended, if that was not known before.
+    now : float
+        Monotonic seconds.
+    """
+    release_flow(node, flow_key, outcome, now)
+    placement = remove_flow(node.flows, flow_key)
+    if placement is None or not placement.is_copied:
+        return
+    slot = get_hash_slot(flow_key)
+    if node.ownership.owners[slot] == node.name:
+        backup = node.ownership.backups[slot]
+        queue_copy(node.copies, backup, FlowCopy(flow_key, 0))
--- /dev/null
+++ b/balsamshed/node/state.py
@@ -0,0 +1,184 @@
+"""State of a node: one of each aggregate."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from functools import partial
+
+from balsamshed.configuration.catalog import Catalog, derive_routing_table
+from balsamshed.configuration.resources import BackendServer
+from balsamshed.configuration.routing import RoutingTable
+from balsamshed.flows.copies import CopyQueue, has_allowance
+from balsamshed.flows.derivation import CandidateHistory
+from balsamshed.flows.table import FlowTable, Placement
+from balsamshed.limits.limiter import Limiter
+from balsamshed.limits.overload import OverloadState
+from balsamshed.limits.retries import RetryBudget
+from balsamshed.members.history import OwnershipHistory
+from balsamshed.members.member import Member
+from balsamshed.members.membership import (
+    ControlAddress,
+    DrawNumber,
+    Membership,
+    create_membership,
+)
+from balsamshed.members.ownership import Ownership, assign_slots
+from balsamshed.placement.board import LoadBoard
+from balsamshed.placement.messages import LoadReport
+from balsamshed.placement.policy import PlacementPolicy, create_aged_policy
+from balsamshed.platform.session import StoreSession
+from balsamshed.status.fleet import FleetStatus
+
+
+@dataclass(slots=True)
+class Node:
+    """A balancer without its sockets, timers and codecs.
+
+    Attributes
+    ----------
+    name, data_centre, group : str
+        From the settings.
+    wall_offset : float
+        Seconds since the Unix epoch minus monotonic seconds.
+    catalog : Catalog
+        The node's copy of its group's records.
+    routing : RoutingTable
+        Derived from the catalog.
+    membership : Membership
+        Other balancers of the group.
+    view_version : int
+        Version of the membership that the ownership was computed from.
+    history : OwnershipHistory
+        Owners of hash slots.
+    ownership : Ownership
+        The current assignment, ``history.current``.
+    reachable : frozenset of str
+        Names of the members that packets may be handed to.
+    flows : FlowTable
+        Entries of flows.
+    copies : CopyQueue
+        Copies of entries for other members.
+    handoff : iterator
+        Entries still to be checked after a membership change.
+    candidates : CandidateHistory
+        Candidate lists of the last minute.
+    board : LoadBoard
+        Load of backend servers.
+    policy : PlacementPolicy
+        Chooses a backend server for a new flow.
+    limiters : dict of str to Limiter
+        Keyed by the route's name.
+    retries : dict of str to RetryBudget
+        Keyed by the route's name.
+    overload : OverloadState
+        Work classes refused because the node itself is short of time.
+    session : StoreSession
+        Use of the object store.
+    fleet : FleetStatus
+        What this node knows about the others' configuration.
+    wanted_probes : tuple of BackendServer
+        Backend servers whose load this node probes for its group.
+    fresh_reports : dict of int to (LoadReport, float)
+        Reports to pass on, with the monotonic seconds of their arrival.
+    idle_scan : iterator of bytes
+        Flows still to be checked for idleness.
+    synced_at : dict of str to float
+        Monotonic seconds of the last catalog comparison with each member.
+    due_at : dict of str to float
+        Monotonic seconds at which each recurring task is due.
+    is_leaving : bool
+        Whether the process was asked to stop.
+    leaving_since : float
+        Monotonic seconds of that request.
+    """
+
+    name: str
+    data_centre: str
+    group: str
+    wall_offset: float
+    catalog: Catalog
+    routing: RoutingTable
+    membership: Membership
+    history: OwnershipHistory
+    flows: FlowTable
+    copies: CopyQueue
+    candidates: CandidateHistory
+    board: LoadBoard
+    policy: PlacementPolicy
+    session: StoreSession
+    fleet: FleetStatus
+    overload: OverloadState
+    view_version: int = -1
+    reachable: frozenset[str] = frozenset()
+    handoff: Iterator[tuple[bytes, Placement]] = field(
+        default_factory=lambda: iter(()),
+    )
+    limiters: dict[str, Limiter] = field(default_factory=dict)
+    retries: dict[str, RetryBudget] = field(default_factory=dict)
+    wanted_probes: tuple[BackendServer, ...] = ()
+    fresh_reports: dict[int, tuple[LoadReport, float]] = field(
+        default_factory=dict,
+    )
+    idle_scan: Iterator[bytes] = field(default_factory=lambda: iter(()))
+    synced_at: dict[str, float] = field(default_factory=dict)
+    due_at: dict[str, float] = field(default_factory=dict)
+    is_leaving: bool = False
+    leaving_since: float = 0
+
+    @property
+    def ownership(self) -> Ownership:
+        """The current assignment of hash slots."""
+        return self.history.current
+
+
+def create_node(
+    own: Member,
+    group: str,
+    seeds: Iterable[ControlAddress],
+    draw: DrawNumber,
+    now: float,
+    wall_time: float,
+) -> Node:
+    """Create the state of a balancer that has just started.
+
+    Parameters
+    ----------
+    own : Member
+        The balancer itself.
+    group : str
+        Name of its group.
+    seeds : iterable of (str, int)
+        Control addresses of some members of the group.
+    draw : callable
+        Returns a random integer from 0 to below its argument.
+    now : float
+        Monotonic seconds.
+    wall_time : float
+        Seconds since the Unix epoch.
+
+    Returns
+    -------
+    Node
+        A node without records that owns every hash slot.
+    """
+    catalog = Catalog()
+    board = LoadBoard()
+    # Batches of a restarted process continue above those of the former one.
+    copies = CopyQueue(int(wall_time * 1000), refilled_at=now)
+    return Node(
+        name=own.name,
+        data_centre=own.data_centre,
+        group=group,
+        wall_offset=wall_time - now,
+        catalog=catalog,
+        routing=derive_routing_table(catalog),
+        membership=create_membership(own, seeds, draw),
+        history=OwnershipHistory(assign_slots((own,))),
+        flows=FlowTable(),
+        copies=copies,
+        candidates=CandidateHistory(now),
+        board=board,
+        policy=create_aged_policy(board, partial(has_allowance, copies)),
+        session=StoreSession(),
+        fleet=FleetStatus(),
+        overload=OverloadState(),
+    )
--- /dev/null
+++ b/balsamshed/node/store.py
@@ -0,0 +1,87 @@
+"""Answers of the platform's object store."""
+
+from typing import Final
+
+from balsamshed.members.membership import add_hints
+from balsamshed.node.effects import CountEvent, Effect, LogEvent
+from balsamshed.node.events import (
+    RecordsChanged,
+    RecordsListed,
+    RecordWritten,
+    StoreFailed,
+    VmsListed,
+    WatchExpired,
+    WriteConflicted,
+)
+from balsamshed.node.records import learn_records
+from balsamshed.node.state import Node
+from balsamshed.platform.session import (
+    note_expiry,
+    note_failure,
+    note_list,
+    note_watch,
+)
+from balsamshed.status.fleet import note_conflict, note_written
+
+_FRACTION_STEPS: Final = 1000
+_SESSION_CALLS: Final = frozenset(('list', 'watch'))
+
+Effects = tuple[Effect, ...]
+
+
+def handle_list(node: Node, event: RecordsListed, now: float) -> Effects:
+    """Take over a complete list."""
+    note_list(node.session, event.revision, now)
+    return learn_records(node, event.records, now)
+
+
+def handle_changes(node: Node, event: RecordsChanged, now: float) -> Effects:
+    """Take over the news of a watch."""
+    note_watch(node.session, event.revision)
+    return learn_records(node, event.records, now)
+
+
+def handle_expiry(node: Node, event: WatchExpired, now: float) -> Effects:
+    """List again, since the store no longer knows what changed."""
+    note_expiry(node.session)
+    return ()
+
+
+def handle_written(node: Node, event: RecordWritten, now: float) -> Effects:
+    """Note that a status object was written."""
+    if event.key == _get_status_key(node):
+        note_written(node.fleet, event.version)
+    return ()
+
+
+def handle_conflict(
+    node: Node,
+    event: WriteConflicted,
+    now: float,
+) -> Effects:
+    """Follow the version that another reader wrote."""
+    if event.key == _get_status_key(node):
+        note_conflict(node.fleet, event.version)
+    return ()
+
+
+def handle_failure(node: Node, event: StoreFailed, now: float) -> Effects:
+    """Back off after a failed call; serving goes on with what is known."""
+    if event.call in _SESSION_CALLS:
+        fraction = node.membership.draw(_FRACTION_STEPS) / _FRACTION_STEPS
+        note_failure(node.session, now, fraction)
+    fields = {'call': event.call, 'reason': event.reason}
+    return (
+        LogEvent('store_call_failed', fields),
+        CountEvent('store_call_failed'),
+    )
+
+
+def handle_vms(node: Node, event: VmsListed, now: float) -> Effects:
+    """Take the listed VMs as hints for addresses."""
+    add_hints(node.membership, event.vms)
+    return ()
+
+
+def _get_status_key(node: Node) -> str:
+    return f'{node.group}/status/{node.data_centre}'
--- /dev/null
+++ b/balsamshed/node/summaries.py
@@ -0,0 +1,40 @@
+"""Summary of the fleet, as a reader sees it."""
+
+from balsamshed.members.membership import list_catalogs, list_owners
+from balsamshed.node.state import Node
+from balsamshed.status.fleet import LaggingMember, Summary
+from balsamshed.status.rules import list_rejections, list_unmet_rules
+
+
+def build_summary(node: Node, now: float) -> Summary:
+    """Summarize what is in force on the members of the group.
+
+    Parameters
+    ----------
+    node : Node
+        The summarizing node.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    Summary
+        State of the fleet.
+    """
+    names = {member.name for member in list_owners(node.membership)}
+    lagging = tuple(
+        LaggingMember(
+            name,
+            round(seen.lagging_since + node.wall_offset, 1),
+            seen.digest.highest_version,
+        )
+        for name, seen in sorted(list_catalogs(node.membership).items())
+        if seen.lagging_since is not None and name in names
+    )
+    return Summary(
+        members=tuple(sorted(names)),
+        highest_version=node.catalog.highest_version,
+        lagging=lagging,
+        unmet_rules=list_unmet_rules(node.routing, now + node.wall_offset),
+        rejected=list_rejections(node.catalog),
+    )
--- /dev/null
+++ b/balsamshed/node/traffic.py
@@ -0,0 +1,270 @@
+"""Packets of callers and of backend servers."""
+
+from typing import Final
+
+from balsamshed.configuration.resources import ListenerKind
+from balsamshed.configuration.routing import Route
+from balsamshed.flows.copies import queue_copy
+from balsamshed.flows.derivation import derive_host
+from balsamshed.flows.messages import FlowCopy
+from balsamshed.flows.packets import (
+    Packet,
+    Relay,
+    RelayKind,
+    TcpFlag,
+    build_flow_key,
+)
+from balsamshed.flows.table import (
+    Placement,
+    adopt_flow,
+    end_flow,
+    get_placement,
+)
+from balsamshed.limits.limiter import Outcome
+from balsamshed.members.history import changed_owner, list_former_owners
+from balsamshed.members.ownership import get_hash_slot
+from balsamshed.node.effects import (
+    CountEvent,
+    Drop,
+    Effect,
+    ForwardPacket,
+    RefuseFlow,
+    ReturnPacket,
+    SendRelay,
+)
+from balsamshed.node.events import PacketReceived, RelayReceived
+from balsamshed.node.openings import (
+    handle_refusal,
+    note_accepted,
+    open_flow,
+    repeat_opening,
+)
+from balsamshed.node.releases import forget_flow, release_flow
+from balsamshed.node.state import Node
+from balsamshed.placement.candidates import list_candidates
+
+#: A SYN may be retransmitted through a new owner for this long.
+SYN_REPEAT_SECONDS: Final = 10.0
+
+Effects = tuple[Effect, ...]
+
+_ENDING_FLAGS: Final = int(TcpFlag.FIN | TcpFlag.RST)
+_SYN: Final = int(TcpFlag.SYN)
+_REFUSAL_FLAGS: Final = int(TcpFlag.RST | TcpFlag.ACK)
+_SPECIAL_FLAGS: Final = _SYN | _ENDING_FLAGS
+_NO_ROUTE: Final = (Drop('no_route'),)
+_NO_ROUTE_FOR_RELAY: Final = (Drop('no_route_for_relay'),)
+
+
+def handle_packet(node: Node, event: PacketReceived, now: float) -> Effects:
+    """Decide on a packet from the fabric.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    event : PacketReceived
+        The packet.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        Where the packet goes.
+    """
+    packet = event.packet
+    routing = node.routing
+    route = routing.listeners.get((packet.destination, packet.destination_port))
+    if route is None:
+        return _handle_answer(node, packet, now)
+    owner = node.history.current.owners[get_hash_slot(packet.flow_key)]
+    if owner != node.name:
+        return (SendRelay(owner, Relay(RelayKind.TO_OWNER, '', (), packet)),)
+    return _serve_as_owner(node, packet, route, now)
+
+
+def handle_relay(node: Node, event: RelayReceived, now: float) -> Effects:
+    """Decide on a packet from another balancer.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    event : RelayReceived
+        The packet and what is asked.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        Where the packet goes.
+    """
+    relay = event.relay
+    packet = relay.packet
+    if relay.kind is RelayKind.REFUSAL:
+        return handle_refusal(node, packet, now)
+    route = node.routing.listeners.get(
+        (packet.destination, packet.destination_port),
+    )
+    if route is None:
+        return _NO_ROUTE_FOR_RELAY
+    if relay.kind is RelayKind.LOOKUP:
+        return _handle_lookup(node, relay, route, now)
+    if relay.kind is RelayKind.RETURNED:
+        return _decide_finally(node, packet, route, now)
+    return _handle_relay_to_owner(node, relay, route, now)
+
+
+def _handle_relay_to_owner(
+    node: Node,
+    relay: Relay,
+    route: Route,
+    now: float,
+) -> Effects:
+    packet = relay.packet
+    owner = node.ownership.owners[get_hash_slot(packet.flow_key)]
+    is_misdirected = owner != node.name and not relay.asker
+    if is_misdirected and packet.flow_key not in node.flows.placements:
+        # The views of the membership differ; one more hop, never a loop.
+        onward = Relay(RelayKind.TO_OWNER, node.name, (), packet)
+        return (SendRelay(owner, onward),)
+    return _serve_as_owner(node, packet, route, now)
+
+
+def _serve_as_owner(
+    node: Node,
+    packet: Packet,
+    route: Route,
+    now: float,
+) -> Effects:
+    placement = node.flows.placements.get(packet.flow_key)
+    if placement is not None:
+        return _serve_known(node, packet, route, placement, now)
+    slot = get_hash_slot(packet.flow_key)
+    needs_lookup = not packet.flags & _SYN or changed_owner(
+        node.history,
+        slot,
+        now,
+        SYN_REPEAT_SECONDS,
+    )
+    if needs_lookup:
+        chain = _build_chain(node, slot, now)
+        if chain:
+            relay = Relay(RelayKind.LOOKUP, node.name, chain[1:], packet)
+            return (SendRelay(chain[0], relay), CountEvent('lookup'))
+    return _decide_finally(node, packet, route, now)
+
+
+def _serve_known(
+    node: Node,
+    packet: Packet,
+    route: Route,
+    placement: Placement,
+    now: float,
+) -> Effects:
+    flow_key = packet.flow_key
+    claimed = node.routing.endpoints.get(
+        (placement.host, packet.destination_port),
+    )
+    if claimed is not route:
+        # The host was removed, or now serves another service.
+        return _reset_flow(node, packet, now)
+    node.flows.last_seen[flow_key] = now
+    if packet.flags & _SPECIAL_FLAGS:
+        if packet.flags & _SYN:
+            return repeat_opening(node, packet, route, now)
+        if end_flow(node.flows, flow_key, now):
+            is_reset = packet.flags & TcpFlag.RST
+            outcome = Outcome.CANCELLED if is_reset else Outcome.FINISHED
+            release_flow(node, flow_key, outcome, now)
+    elif flow_key in node.flows.openings:
+        note_accepted(node, flow_key, route, now)
+    return (ForwardPacket(packet, placement.host),)
+
+
+def _reset_flow(node: Node, packet: Packet, now: float) -> Effects:
+    forget_flow(node, packet.flow_key, Outcome.UNKNOWN, now)
+    return (RefuseFlow(packet), CountEvent('flow_reset_host_gone'))
+
+
+def _build_chain(node: Node, slot: int, now: float) -> tuple[str, ...]:
+    chain = list_former_owners(node.history, slot, node.reachable, now)
+    backup = node.ownership.backups[slot]
+    if backup and backup not in chain:
+        chain.append(backup)
+    return tuple(name for name in chain if name != node.name)
+
+
+def _handle_lookup(
+    node: Node,
+    relay: Relay,
+    route: Route,
+    now: float,
+) -> Effects:
+    packet = relay.packet
+    placement = node.flows.placements.get(packet.flow_key)
+    if placement is not None:
+        queue_copy(
+            node.copies,
+            relay.asker,
+            FlowCopy(packet.flow_key, placement.host),
+        )
+        return _serve_known(node, packet, route, placement, now)
+    if relay.chain:
+        onward = Relay(relay.kind, relay.asker, relay.chain[1:], packet)
+        return (SendRelay(relay.chain[0], onward),)
+    returned = Relay(RelayKind.RETURNED, relay.asker, (), packet)
+    return (SendRelay(relay.asker, returned),)
+
+
+def _decide_finally(
+    node: Node,
+    packet: Packet,
+    route: Route,
+    now: float,
+) -> Effects:
+    placement = node.flows.placements.get(packet.flow_key)
+    if placement is not None:
+        return _serve_known(node, packet, route, placement, now)
+    if packet.flags & _SYN:
+        return open_flow(node, packet, route, now)
+    if packet.flags & TcpFlag.RST:
+        return (Drop('reset_of_unknown_flow'),)
+    host = None
+    if route.listener.kind is ListenerKind.REQUEST:
+        host = derive_host(
+            node.candidates,
+            route.name,
+            packet.flow_key,
+            now,
+            list_candidates,
+        )
+    if host is None:
+        return (RefuseFlow(packet), CountEvent('flow_reset_unknown'))
+    placement = get_placement(host, is_feed=False, is_copied=False)
+    adopt_flow(node.flows, packet.flow_key, placement, now)
+    served = _serve_known(node, packet, route, placement, now)
+    return (*served, CountEvent('flow_derived'))
+
+
+def _handle_answer(node: Node, packet: Packet, now: float) -> Effects:
+    route = node.routing.endpoints.get((packet.source, packet.source_port))
+    if route is None:
+        return _NO_ROUTE
+    is_refusal = (
+        packet.flags & _REFUSAL_FLAGS == _REFUSAL_FLAGS and packet.sequence == 0
+    )
+    if not is_refusal:
+        return (ReturnPacket(packet, route.service.address),)
+    flow_key = build_flow_key(
+        packet.destination,
+        route.service.address,
+        packet.destination_port,
+        packet.source_port,
+    )
+    owner = node.ownership.owners[get_hash_slot(flow_key)]
+    if owner == node.name:
+        return handle_refusal(node, packet, now)
+    return (SendRelay(owner, Relay(RelayKind.REFUSAL, '', (), packet)),)
--- /dev/null
+++ b/balsamshed/node/upkeep.py
@@ -0,0 +1,284 @@
+"""Work that is due as time passes."""
+
+from dataclasses import replace
+from typing import Final
+
+from balsamshed.flows.copies import is_settled, take_batches
+from balsamshed.flows.table import (
+    UNANSWERED_SECONDS,
+    has_open_request,
+    is_idle,
+    list_ended,
+    list_unanswered,
+)
+from balsamshed.limits.limiter import Outcome
+from balsamshed.limits.overload import record_loop_delay
+from balsamshed.members.membership import (
+    Pause,
+    list_reachable_peers,
+)
+from balsamshed.members.ownership import get_hash_slot
+from balsamshed.members.protocol import leave, run_tick
+from balsamshed.node.effects import (
+    CountEvent,
+    Effect,
+    ListRecords,
+    ListVms,
+    LogEvent,
+    ProbeLoad,
+    SendPeerMessage,
+    Stop,
+    WatchRecords,
+    WriteRecord,
+)
+from balsamshed.node.events import LeaveRequested, Ticked
+from balsamshed.node.ownership import (
+    HANDOFF_ENTRIES,
+    hand_off_entries,
+    update_ownership,
+)
+from balsamshed.node.peers import send_outgoing
+from balsamshed.node.records import (
+    assign_probes,
+    is_first_reader,
+    is_reader,
+    note_all_candidates,
+)
+from balsamshed.node.releases import find_route, forget_flow
+from balsamshed.node.state import Node
+from balsamshed.node.summaries import build_summary
+from balsamshed.placement.board import record_unanswered
+from balsamshed.placement.messages import LoadReport, LoadReports
+from balsamshed.platform.session import StoreCall, advance_session
+from balsamshed.status.fleet import build_body, plan_write
+
+#: A leaving process stops after this time at the latest.
+LEAVE_SECONDS: Final = 60.0
+#: A leaving process stays this long, so that every member has the news.
+LEAVE_NOTICE_SECONDS: Final = 2.0
+#: Entries checked for idleness in one tick.
+IDLE_SCAN_ENTRIES: Final = 2000
+#: Members for which reports are sent each second.
+REPORT_MEMBERS_PER_SECOND: Final = 16
+
+_PROBE_SECONDS: Final = 0.5
+_CANDIDATES_SECONDS: Final = 0.25
+_STATUS_SECONDS: Final = 0.25
+_VMS_SECONDS: Final = 10.0
+
+Effects = tuple[Effect, ...]
+
+
+def handle_tick(node: Node, event: Ticked, now: float) -> Effects:
+    """Do what is due.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    event : Ticked
+        The wall time and how late the tick came.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        Messages, calls on the store and log lines.
+    """
+    node.wall_offset = event.wall_time - now
+    record_loop_delay(node.overload, event.loop_delay_seconds, now)
+    effects = _run_membership(node, now)
+    _end_flows(node, now)
+    _expire_openings(node, now)
+    if _is_due(node, 'candidates', now, _CANDIDATES_SECONDS):
+        effects.extend(_note_candidates(node, now))
+    hand_off_entries(node, HANDOFF_ENTRIES, now)
+    effects.extend(_send_copies(node, now))
+    effects.extend(_call_store(node, now))
+    effects.extend(_write_status(node, now))
+    effects.extend(_probe_load(node, now))
+    if node.is_leaving:
+        effects.extend(_finish_leaving(node, now))
+    return tuple(effects)
+
+
+def handle_leave_request(
+    node: Node,
+    event: LeaveRequested,
+    now: float,
+) -> Effects:
+    """Announce that this balancer leaves; it stops when nothing depends on it.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    event : LeaveRequested
+        Carries nothing.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        The announcement.
+    """
+    if node.is_leaving:
+        return ()
+    node.is_leaving = True
+    node.leaving_since = now
+    announcements = tuple(map(send_outgoing, leave(node.membership)))
+    return (*announcements, LogEvent('leaving'))
+
+
+def _is_due(node: Node, task: str, now: float, seconds: float) -> bool:
+    if now < node.due_at.get(task, 0):
+        return False
+    node.due_at[task] = now + seconds
+    return True
+
+
+def _run_membership(node: Node, now: float) -> list[Effect]:
+    effects: list[Effect] = []
+    for outcome in run_tick(node.membership, now):
+        if isinstance(outcome, Pause):
+            fields = {'late_seconds': round(outcome.late_seconds, 3)}
+            effects.append(LogEvent('process_paused', fields))
+            effects.append(CountEvent('process_paused'))
+            # Limits learned before the pause say nothing about the present.
+            node.limiters.clear()
+        else:
+            effects.append(send_outgoing(outcome))
+    if node.membership.view_version != node.view_version:
+        effects.extend(update_ownership(node, now))
+        assign_probes(node)
+    return effects
+
+
+def _end_flows(node: Node, now: float) -> None:
+    for flow_key in list_ended(node.flows, now):
+        forget_flow(node, flow_key, Outcome.UNKNOWN, now)
+    for flow_key in _take_idle_scan(node):
+        if flow_key not in node.flows.placements:
+            continue
+        slot = get_hash_slot(flow_key)
+        # The backup sees no packets; its copies go by notice of the owner.
+        is_backup = node.ownership.backups[slot] == node.name
+        if not is_backup and is_idle(node.flows, flow_key, now):
+            forget_flow(node, flow_key, Outcome.UNKNOWN, now)
+
+
+def _take_idle_scan(node: Node) -> list[bytes]:
+    keys = []
+    for flow_key in node.idle_scan:
+        keys.append(flow_key)
+        if len(keys) == IDLE_SCAN_ENTRIES:
+            return keys
+    node.idle_scan = iter(tuple(node.flows.placements))
+    return keys
+
+
+def _expire_openings(node: Node, now: float) -> None:
+    flows = node.flows
+    for flow_key, opening in list_unanswered(flows, now):
+        route = find_route(node, flow_key)
+        deadline = route.listener.deadline_seconds if route else 0
+        if now - opening.started_at > deadline + UNANSWERED_SECONDS:
+            forget_flow(node, flow_key, Outcome.UNKNOWN, now)
+        elif not opening.is_counted:
+            flows.openings[flow_key] = replace(opening, is_counted=True)
+            record_unanswered(node.board, opening.tried[-1], now)
+
+
+def _note_candidates(node: Node, now: float) -> list[Effect]:
+    return [
+        LogEvent('candidates_changed', {'route': name})
+        for name in note_all_candidates(node, now)
+    ]
+
+
+def _send_copies(node: Node, now: float) -> list[Effect]:
+    effects: list[Effect] = []
+    for batch in take_batches(node.copies, now):
+        member = node.membership.peers.get(batch.target)
+        if member is not None:
+            effects.append(
+                SendPeerMessage(
+                    member.host,
+                    member.control_port,
+                    batch.copies,
+                ),
+            )
+    return effects
+
+
+def _call_store(node: Node, now: float) -> list[Effect]:
+    effects: list[Effect] = []
+    call = advance_session(node.session, now, is_reader=is_reader(node))
+    if call is StoreCall.LIST:
+        effects.append(ListRecords(f'{node.group}/'))
+    elif call is StoreCall.WATCH:
+        prefix = f'{node.group}/'
+        effects.append(WatchRecords(prefix, node.session.revision))
+    if is_reader(node) and _is_due(node, 'vms', now, _VMS_SECONDS):
+        effects.append(ListVms())
+    return effects
+
+
+def _write_status(node: Node, now: float) -> list[Effect]:
+    if not _is_due(node, 'status', now, _STATUS_SECONDS):
+        return []
+    if not is_first_reader(node):
+        return []
+    summary = build_summary(node, now)
+    if not plan_write(node.fleet, summary, now):
+        return []
+    body = build_body(
+        summary,
+        node.data_centre,
+        node.name,
+        now + node.wall_offset,
+    )
+    key = f'{node.group}/status/{node.data_centre}'
+    return [WriteRecord(key, body, node.fleet.version)]
+
+
+def _probe_load(node: Node, now: float) -> list[Effect]:
+    effects: list[Effect] = []
+    if _is_due(node, 'probes', now, _PROBE_SECONDS):
+        effects.extend(
+            ProbeLoad(server.host, server.load_url)
+            for server in node.wanted_probes
+        )
+    peers = list_reachable_peers(node.membership)
+    interval = max(1.0, len(peers) / REPORT_MEMBERS_PER_SECOND)
+    if node.fresh_reports and _is_due(node, 'reports', now, interval):
+        reports = LoadReports(
+            tuple(
+                LoadReport(
+                    report.host,
+                    report.in_flight,
+                    report.queued,
+                    report.age_seconds + now - received_at,
+                )
+                for report, received_at in node.fresh_reports.values()
+            ),
+        )
+        node.fresh_reports.clear()
+        effects.extend(
+            SendPeerMessage(peer.host, peer.control_port, reports)
+            for peer in peers
+        )
+    return effects
+
+
+def _finish_leaving(node: Node, now: float) -> list[Effect]:
+    waited = now - node.leaving_since
+    if waited < LEAVE_NOTICE_SECONDS:
+        return []
+    is_needed = has_open_request(node.flows) or not is_settled(node.copies)
+    if is_needed and waited < LEAVE_SECONDS:
+        return []
+    fields = {'seconds': round(waited, 1), 'open_requests': is_needed}
+    return [LogEvent('left', fields), Stop()]
--- /dev/null
+++ b/testbed/demo.py
@@ -0,0 +1,192 @@
+"""Demonstration of the whole path, on loopback and with test doubles.
+
+Run it with ``make demo``. It exits with 1 if a feed broke, a packet reached
+the wrong service, a request ran twice, or a request got no answer.
+"""
+
+import json
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack
+from dataclasses import dataclass
+from typing import Any, Final
+
+from testbed.fleet import (
+    CRENEAU,
+    FEED_PORT,
+    REGISTRE,
+    REQUEST_PORT,
+    Fleet,
+    ServicePlan,
+    apply_objects,
+    build_objects,
+    read_runs,
+    run_fleet,
+    run_operator,
+    start_balancer,
+    start_servers,
+    wait_until_ready,
+)
+from testbed.processes import (
+    RunningProcess,
+    read_output,
+    run_module,
+    wait_for_exit,
+)
+
+#: Balancers of the demonstration with their data centres.
+BALANCERS: Final = (('lb-1', 'qc-1'), ('lb-2', 'qc-1'), ('lb-3', 'qc-2'))
+#: How long callers send requests, in seconds.
+LOAD_SECONDS: Final = 10
+#: When the backend server starts to drain, in seconds.
+DRAIN_AFTER_SECONDS: Final = 3
+#: Bound for new work on a backend server that drains, in seconds.
+DRAIN_BOUND_SECONDS: Final = 3.0
+
+_DRAINED: Final = 'creneau-2'
+_EXIT_SECONDS: Final = 20
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """A line of the table.
+
+    Parameters
+    ----------
+    name : str
+        What was counted.
+    found : str
+        What was found.
+    is_good : bool
+        Whether that is allowed.
+    """
+
+    name: str
+    found: str
+    is_good: bool
+
+
+def run_demo() -> int:
+    """Run the demonstration and print its table.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    with run_fleet() as fleet:
+        _start(fleet)
+        with ExitStack() as stack:
+            processes = {
+                plan.name: stack.enter_context(_run_callers(fleet, plan))
+                for plan in (CRENEAU, REGISTRE)
+            }
+            time.sleep(DRAIN_AFTER_SECONDS)
+            drained_at = time.time()
+            exit_status, output = run_operator(fleet, 'drain', _DRAINED)
+            _write(f'$ balsamshed drain {_DRAINED}\n{output.strip()}')
+            reports = {
+                name: _read_report(process)
+                for name, process in processes.items()
+            }
+        checks = list(_list_checks(fleet, reports, drained_at))
+        checks.append(
+            Check(
+                'drain command', f'exit status {exit_status}', not exit_status
+            ),
+        )
+        _write(run_operator(fleet, 'status')[1].strip())
+    return _print_table(checks)
+
+
+def _start(fleet: Fleet) -> None:
+    for name, data_centre in BALANCERS:
+        start_balancer(fleet, name, data_centre)
+    objects: list[dict[str, Any]] = []
+    for plan in (CRENEAU, REGISTRE):
+        objects.extend(build_objects(plan, start_servers(fleet, plan)))
+    apply_objects(fleet, objects)
+    wait_until_ready(fleet)
+    _write(f'{len(BALANCERS)} balancers ready, {len(objects)} objects applied')
+
+
+def _run_callers(fleet: Fleet, plan: ServicePlan) -> Any:
+    return run_module(
+        'testbed.caller',
+        *('--fabric-port', fleet.fabric_port, '--address', plan.address),
+        *('--service', plan.name, '--prefix', plan.name),
+        *('--feed-port', FEED_PORT, '--request-port', REQUEST_PORT),
+        *('--feeds', 30 if plan.has_feeds else 0),
+        *('--requests-per-second', 60, '--seconds', LOAD_SECONDS),
+        *('--first-host', f'10.9.{plan.network[-1]}.1'),
+        name=f'callers of {plan.name}',
+    )
+
+
+def _read_report(process: RunningProcess) -> dict[str, Any]:
+    wait_for_exit(process, LOAD_SECONDS + _EXIT_SECONDS)
+    report = json.loads(read_output(process).splitlines()[-1])
+    return dict(report)
+
+
+def _list_checks(
+    fleet: Fleet,
+    reports: dict[str, dict[str, Any]],
+    drained_at: float,
+) -> Iterator[Check]:
+    runs = read_runs(fleet)
+    for name, report in reports.items():
+        feeds, broken = report['feeds'], report['feeds_broken']
+        refused = report['feeds_refused']
+        if feeds:
+            yield Check(
+                f'{name}: feeds broken',
+                f'{broken + refused} of {feeds}',
+                not broken and not refused,
+            )
+        requests, answered = report['requests'], report['answered']
+        yield Check(
+            f'{name}: requests answered',
+            f'{answered} of {requests}',
+            answered == requests and requests > 0,
+        )
+    wrong = sum(entry['wrong_service'] for entry in runs.values())
+    yield Check('packets for the wrong service', str(wrong), not wrong)
+    doubles = _count_doubles(runs)
+    yield Check('requests that ran twice', str(doubles), not doubles)
+    last = max(
+        (wall_time for wall_time, _port in runs[_DRAINED]['accepted']),
+        default=drained_at,
+    )
+    late = max(last - drained_at, 0)
+    yield Check(
+        f'new work on {_DRAINED} after its drain',
+        f'for {late:.2f} s',
+        late <= DRAIN_BOUND_SECONDS,
+    )
+
+
+def _count_doubles(runs: dict[str, Any]) -> int:
+    totals: dict[str, int] = {}
+    for entry in runs.values():
+        for request_id, count in entry['runs'].items():
+            totals[request_id] = totals.get(request_id, 0) + count
+    return sum(count > 1 for count in totals.values())
+
+
+def _print_table(checks: list[Check]) -> int:
+    width = max(len(check.name) for check in checks)
+    for check in checks:
+        verdict = 'ok' if check.is_good else 'FAILED'
+        _write(f'{check.name:<{width}}  {check.found:<16}  {verdict}')
+    return int(not all(check.is_good for check in checks))
+
+
+def _write(text: str) -> None:
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    sys.exit(run_demo())
--- /dev/null
+++ b/testbed/fleet.py
@@ -0,0 +1,560 @@
+"""A whole test bed: store, fabric, balancers and backend servers."""
+
+import json
+import os
+import sys
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from subprocess import run
+from tempfile import TemporaryDirectory
+from typing import Any, Final
+from urllib.request import Request, urlopen
+
+from testbed.processes import (
+    RunningProcess,
+    pick_free_ports,
+    run_module,
+    wait_for_http,
+    wait_for_port,
+    wait_until,
+)
+
+#: Group that all balancers of a test bed belong to.
+GROUP: Final = 'qc-est'
+#: Longest wait for an HTTP answer of a test double, in seconds.
+HTTP_SECONDS: Final = 5.0
+#: Listener ports of the test services.
+FEED_PORT: Final = 7001
+REQUEST_PORT: Final = 7002
+
+_PEER_KEY: Final = '00112233445566778899aabbccddeeff'
+_COMMAND_SECONDS: Final = 30.0
+_READY_SECONDS: Final = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServicePlan:
+    """A service and its backend servers.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    address : str
+        Its IPv4 address.
+    network : str
+        First three numbers of its backend servers' hosts.
+    endpoints : int
+        Number of backend servers.
+    slots : int
+        Slots of each.
+    has_feeds : bool
+        Whether it has a listener for feeds besides the one for requests.
+    work_class : str
+        Class of its requests.
+    """
+
+    name: str
+    address: str
+    network: str
+    endpoints: int
+    slots: int
+    has_feeds: bool
+    work_class: str
+
+
+#: The services of Buanderie Partagée Laval at a smaller scale.
+CRENEAU: Final = ServicePlan(
+    'creneau',
+    '192.0.2.10',
+    '10.8.1',
+    3,
+    2,
+    has_feeds=True,
+    work_class='urgent',
+)
+REGISTRE: Final = ServicePlan(
+    'registre',
+    '192.0.2.11',
+    '10.8.2',
+    2,
+    2,
+    has_feeds=False,
+    work_class='bulk',
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Balancer:
+    """A running balancer.
+
+    Parameters
+    ----------
+    name, data_centre : str
+        From its settings.
+    process : RunningProcess
+        The process.
+    data_port, control_port, metrics_port : int
+        Ports on the loopback interface.
+    """
+
+    name: str
+    data_centre: str
+    process: RunningProcess
+    data_port: int
+    control_port: int
+    metrics_port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """A running backend server.
+
+    Parameters
+    ----------
+    name, service, host, data_centre : str
+        As declared.
+    slots : int
+        Slots.
+    process : RunningProcess
+        The process.
+    report_port : int
+        TCP port of its load report.
+    """
+
+    name: str
+    service: str
+    host: str
+    data_centre: str
+    slots: int
+    process: RunningProcess
+    report_port: int
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Everything that runs in a test bed.
+
+    Attributes
+    ----------
+    stack : ExitStack
+        Ends the processes.
+    directory : Path
+        Folder for settings files.
+    store_port, fabric_port, fabric_control_port : int
+        Ports of the platform and of the fabric.
+    platform, fabric : RunningProcess
+        These processes.
+    balancers : dict of str to Balancer
+        Keyed by name.
+    servers : dict of str to Server
+        Keyed by name.
+    hosts : dict of str to str
+        UDP address of each backend server's host.
+    """
+
+    stack: ExitStack
+    directory: Path
+    store_port: int
+    fabric_port: int
+    fabric_control_port: int
+    platform: RunningProcess
+    fabric: RunningProcess
+    balancers: dict[str, Balancer] = field(default_factory=dict)
+    servers: dict[str, Server] = field(default_factory=dict)
+    hosts: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def store_url(self) -> str:
+        """Address of the object API."""
+        return f'http://127.0.0.1:{self.store_port}'
+
+
+@contextmanager
+def run_fleet() -> Iterator[Fleet]:
+    """Run a platform and a fabric, without balancers and servers yet.
+
+    Yields
+    ------
+    Fleet
+        The processes end with the context.
+    """
+    store_port, fabric_port, control_port = pick_free_ports(3)
+    with ExitStack() as stack:
+        folder = stack.enter_context(TemporaryDirectory(prefix='fleet-'))
+        platform = stack.enter_context(
+            run_module('testbed.platform', '--port', store_port),
+        )
+        fabric = stack.enter_context(
+            run_module(
+                'testbed.fabric',
+                '--port',
+                fabric_port,
+                '--control-port',
+                control_port,
+            ),
+        )
+        wait_for_port(store_port)
+        wait_for_port(control_port)
+        yield Fleet(
+            stack,
+            Path(folder),
+            store_port,
+            fabric_port,
+            control_port,
+            platform,
+            fabric,
+        )
+
+
+def start_balancer(
+    fleet: Fleet,
+    name: str,
+    data_centre: str,
+    **changes: Any,
+) -> Balancer:
+    """Start a balancer and add it to the fabric's table.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Changed in place.
+    name : str
+        Name of the balancer.
+    data_centre : str
+        Its data centre.
+    **changes : object
+        Settings that differ from the usual ones.
+
+    Returns
+    -------
+    Balancer
+        The running balancer; it may not be ready yet.
+    """
+    data_port, control_port, metrics_port = pick_free_ports(3)
+    peers = [
+        {'host': '127.0.0.1', 'port': other.control_port}
+        for other in fleet.balancers.values()
+    ]
+    settings = {
+        'name': name,
+        'group': GROUP,
+        'data_centre': data_centre,
+        'host': '127.0.0.1',
+        'data_port': data_port,
+        'control_port': control_port,
+        'metrics_port': metrics_port,
+        'fabric': {'host': '127.0.0.1', 'port': fleet.fabric_port},
+        'store_url': fleet.store_url,
+        'peers': peers,
+        'peer_key': _PEER_KEY,
+        **changes,
+    }
+    path = fleet.directory / f'{name}.json'
+    path.write_text(json.dumps(settings))
+    process = fleet.stack.enter_context(
+        run_module('balsamshed', 'run', '--settings', path, name=name),
+    )
+    balancer = Balancer(
+        name,
+        data_centre,
+        process,
+        data_port,
+        control_port,
+        metrics_port,
+    )
+    fleet.balancers[name] = balancer
+    update_fabric(fleet)
+    return balancer
+
+
+def update_fabric(fleet: Fleet) -> None:
+    """Give the fabric the present balancers."""
+    table = {
+        balancer.name: f'127.0.0.1:{balancer.data_port}'
+        for balancer in fleet.balancers.values()
+    }
+    exchange(fleet.fabric_control_port, '/balancers', 'PUT', table)
+
+
+def start_servers(
+    fleet: Fleet,
+    plan: ServicePlan,
+    service_time_ms: int = 20,
+) -> list[Server]:
+    """Start the backend servers of a service.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Changed in place.
+    plan : ServicePlan
+        The service.
+    service_time_ms : int
+        How long a request runs.
+
+    Returns
+    -------
+    list of Server
+        The running servers.
+    """
+    return [
+        start_server(fleet, plan, position, service_time_ms)
+        for position in range(1, plan.endpoints + 1)
+    ]
+
+
+def start_server(
+    fleet: Fleet,
+    plan: ServicePlan,
+    position: int,
+    service_time_ms: int = 20,
+) -> Server:
+    """Start one backend server of a service.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Changed in place.
+    plan : ServicePlan
+        The service.
+    position : int
+        Its number in the service, from one.
+    service_time_ms : int
+        How long a request runs.
+
+    Returns
+    -------
+    Server
+        The running server.
+    """
+    port, report_port = pick_free_ports(2)
+    name = f'{plan.name}-{position}'
+    host = f'{plan.network}.{position}'
+    process = fleet.stack.enter_context(
+        run_module(
+            'testbed.backend_server',
+            *('--name', name, '--service', plan.name, '--host', host),
+            *('--port', port, '--report-port', report_port),
+            *('--fabric-port', fleet.fabric_port),
+            *('--feed-ports', FEED_PORT, '--request-ports', REQUEST_PORT),
+            *('--slots', plan.slots, '--service-time-ms', service_time_ms),
+            name=name,
+        ),
+    )
+    server = Server(
+        name,
+        plan.name,
+        host,
+        f'qc-{position % 2 + 1}',
+        plan.slots,
+        process,
+        report_port,
+    )
+    fleet.servers[name] = server
+    wait_for_port(report_port)
+    fleet.hosts[host] = f'127.0.0.1:{port}'
+    exchange(fleet.fabric_control_port, '/hosts', 'PUT', fleet.hosts)
+    return server
+
+
+def build_objects(
+    plan: ServicePlan,
+    servers: list[Server],
+) -> list[dict[str, Any]]:
+    """Return the objects that declare a service and its backend servers.
+
+    Parameters
+    ----------
+    plan : ServicePlan
+        The service.
+    servers : list of Server
+        Its backend servers.
+
+    Returns
+    -------
+    list of dict
+        As the command ``apply`` reads them.
+    """
+    listeners = [
+        {
+            'name': 'requests',
+            'port': REQUEST_PORT,
+            'kind': 'request',
+            'work_class': plan.work_class,
+        },
+    ]
+    if plan.has_feeds:
+        listeners.append(
+            {
+                'name': 'feed',
+                'port': FEED_PORT,
+                'kind': 'feed',
+                'work_class': 'feed',
+            }
+        )
+    service = {
+        'kind': 'service',
+        'name': plan.name,
+        'spec': {
+            'customer': 'buanderie',
+            'address': plan.address,
+            'listeners': listeners,
+        },
+    }
+    return [service, *map(_build_server_object, servers)]
+
+
+def run_operator(fleet: Fleet, *arguments: object) -> tuple[int, str]:
+    """Run an operator's command.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The store to use.
+    *arguments : object
+        The command with its arguments.
+
+    Returns
+    -------
+    tuple of (int, str)
+        Exit status and output.
+    """
+    completed = run(
+        [sys.executable, '-m', 'balsamshed', *map(str, arguments)],
+        capture_output=True,
+        text=True,
+        timeout=_COMMAND_SECONDS,
+        check=False,
+        env={
+            **os.environ,
+            'BALSAMSHED_GROUP': GROUP,
+            'BALSAMSHED_STORE_URL': fleet.store_url,
+        },
+    )
+    return completed.returncode, completed.stdout + completed.stderr
+
+
+def apply_objects(fleet: Fleet, objects: list[dict[str, Any]]) -> str:
+    """Apply objects with the operator's command.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The store to use.
+    objects : list of dict
+        Objects to declare.
+
+    Returns
+    -------
+    str
+        Output of the command.
+
+    Raises
+    ------
+    RuntimeError
+        If the command fails.
+    """
+    path = fleet.directory / 'objects.json'
+    path.write_text(json.dumps(objects))
+    exit_status, output = run_operator(fleet, 'apply', path)
+    if exit_status:
+        raise RuntimeError(f'apply ended with {exit_status}: {output}')
+    return output
+
+
+def wait_until_ready(fleet: Fleet) -> None:
+    """Wait until every balancer has records and all know each other."""
+    for balancer in fleet.balancers.values():
+        wait_for_http(f'http://127.0.0.1:{balancer.metrics_port}/readyz')
+    count = len(fleet.balancers)
+
+    def is_joined() -> bool:
+        return all(
+            read_metric(balancer, 'balsamshed_members') == count
+            for balancer in fleet.balancers.values()
+        )
+
+    wait_until(is_joined, f'{count} members', _READY_SECONDS)
+
+
+def read_metric(balancer: Balancer, name: str) -> float:
+    """Read a metric without labels.
+
+    Parameters
+    ----------
+    balancer : Balancer
+        A running balancer.
+    name : str
+        Name of the metric.
+
+    Returns
+    -------
+    float
+        Its value; zero if it has none yet.
+    """
+    url = f'http://127.0.0.1:{balancer.metrics_port}/metrics'
+    with urlopen(url, timeout=HTTP_SECONDS) as response:
+        for line in response.read().decode().splitlines():
+            if line.startswith((f'{name} ', f'{name}{{}} ')):
+                return float(line.rsplit(' ', maxsplit=1)[1])
+    return 0
+
+
+def exchange(
+    port: int,
+    path: str,
+    method: str = 'GET',
+    body: object = None,
+) -> Any:
+    """Call a control interface of a test double.
+
+    Parameters
+    ----------
+    port : int
+        TCP port on the loopback interface.
+    path : str
+        Path with its slash.
+    method : str
+        HTTP method.
+    body : object
+        JSON document to send, or None.
+
+    Returns
+    -------
+    object
+        Decoded JSON document of the answer; None if it is empty.
+    """
+    payload = None if body is None else json.dumps(body).encode()
+    request = Request(  # noqa: S310
+        f'http://127.0.0.1:{port}{path}',
+        data=payload,
+        method=method,
+    )
+    with urlopen(request, timeout=HTTP_SECONDS) as response:
+        text = response.read()
+    return json.loads(text) if text else None
+
+
+def read_runs(fleet: Fleet) -> dict[str, Any]:
+    """Return what each backend server has run, keyed by its name."""
+    return {
+        name: exchange(server.report_port, '/runs')
+        for name, server in fleet.servers.items()
+    }
+
+
+def _build_server_object(server: Server) -> dict[str, Any]:
+    return {
+        'kind': 'backend_server',
+        'name': server.name,
+        'spec': {
+            'service': server.service,
+            'host': server.host,
+            'data_centre': server.data_centre,
+            'slots': server.slots,
+            'load_url': f'http://127.0.0.1:{server.report_port}/load',
+        },
+    }
