Replace treq by Twisted's agent and resolve IP literals without threads

Cause: an idle balancer had 4 to 6 threads and 63.8 MB resident. Twisted's resolver starts threads even for IP literals, and treq brings in OpenSSL. Ruled out: blocking the import of OpenSSL by hand, which hides a dependency. Change: a small HTTP client over Twisted's agent, a resolver for literals, and log lines at the info level from the start of the process.

--- a/balsamshed/commands/connections.py
+++ b/balsamshed/commands/connections.py
@@ -14,7 +14,8 @@
 from balsamshed.commands.changes import is_name
 from balsamshed.commands.sessions import Session, StoreCommand
 from balsamshed.commands.statuses import ExitStatus
-from balsamshed.front_ends.store_client import create_http, create_store_client
+from balsamshed.front_ends.http_client import create_http
+from balsamshed.front_ends.store_client import create_store_client
 from balsamshed.schemas import is_http_url
 
 #: Environment variables in place of the options.
--- a/balsamshed/commands/tests/fake_store.py
+++ b/balsamshed/commands/tests/fake_store.py
@@ -4,16 +4,12 @@
 import sys
 from urllib.parse import unquote
 
-from treq.client import HTTPClient
 from treq.testing import RequestTraversalAgent
 from twisted.internet import reactor, stdio
-from twisted.internet.defer import succeed
 from twisted.internet.protocol import Protocol
 from twisted.internet.task import Clock
-from twisted.web.iweb import IBodyProducer
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
-from zope.interface import implementer
 
 from balsamshed.front_ends.store_client import create_store_client
 
@@ -139,28 +135,6 @@
         return json.dumps(content).encode()
 
 
-@implementer(IBodyProducer)
-class WholeBody:
-    """Sends a body at once; the usual producer needs a running reactor."""
-
-    def __init__(self, body):
-        self.body = body
-        self.length = len(body)
-
-    def startProducing(self, consumer):  # noqa: N802
-        consumer.write(self.body)
-        return succeed(None)
-
-    def pauseProducing(self):  # noqa: N802
-        """Nothing is left to pause."""
-
-    def resumeProducing(self):  # noqa: N802
-        """Nothing is left to resume."""
-
-    def stopProducing(self):  # noqa: N802
-        """Nothing is left to stop."""
-
-
 class StoreWorld:
     """A fake store, its client in the same process, and a clock."""
 
@@ -168,10 +142,9 @@
         self.clock = Clock()
         self.store = FakeStore(self.clock)
         self.agent = RequestTraversalAgent(self.store)
-        self.http = HTTPClient(self.agent, data_to_body_producer=WholeBody)
         self.client = create_store_client(
             'http://store',
-            self.http,
+            self.agent,
             self.clock,
             draw_jitter=lambda: 1.0,
         )
--- /dev/null
+++ b/balsamshed/front_ends/http_client.py
@@ -0,0 +1,151 @@
+"""HTTP requests over Twisted's agent.
+
+Twisted's own agent is used instead of treq, which brings OpenSSL into the
+process: 13 MB of the 64 MB that a balancer may use.
+"""
+
+from collections.abc import Mapping
+from typing import Any, Final
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+from twisted.web.client import (
+    Agent,
+    HTTPConnectionPool,
+    PotentialDataLoss,
+    ResponseDone,
+)
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgent, IBodyProducer, IResponse
+from zope.interface import implementer
+
+#: Time limit for a new connection, in seconds.
+CONNECT_SECONDS: Final = 2.0
+
+
+def create_http(reactor: Any) -> IAgent:
+    """Create an HTTP client that keeps connections open between calls."""
+    pool = HTTPConnectionPool(reactor)
+    return Agent(reactor, pool=pool, connectTimeout=CONNECT_SECONDS)
+
+
+def send_request(
+    http: IAgent,
+    method: str,
+    url: str,
+    headers: Mapping[str, str],
+    body: bytes | None = None,
+) -> Deferred[IResponse]:
+    """Send a request.
+
+    Parameters
+    ----------
+    http : IAgent
+        From `create_http`, or one for tests.
+    method, url : str
+        What to request.
+    headers : mapping of str to str
+        Header fields.
+    body : bytes or None
+        Body of the request.
+
+    Returns
+    -------
+    Deferred of IResponse
+        The response without its body; fails if there is none.
+    """
+    return http.request(
+        method.encode(),
+        url.encode(),
+        Headers({name: [field] for name, field in headers.items()}),
+        None if body is None else BytesProducer(body),
+    )
+
+
+@implementer(IBodyProducer)
+class BytesProducer:
+    """Writes a whole body at once.
+
+    Parameters
+    ----------
+    body : bytes
+        Body of a request.
+    """
+
+    def __init__(self, body: bytes) -> None:
+        """Keep the body and its length in bytes."""
+        self.length = len(body)
+        self._body = body
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
+        """Write the body."""
+        consumer.write(self._body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Nothing is left to pause."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Nothing is left to resume."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Nothing is left to stop."""
+
+
+class TextCollector(Protocol):
+    """Collects a response up to a limit."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self.done: Deferred[bytes | None] = Deferred(self._cancel)
+        self._free_bytes = max_bytes
+        self._parts: list[bytes] = []
+
+    def dataReceived(self, received: bytes) -> None:  # noqa: N802
+        """Keep a part, or give up at the limit."""
+        self._free_bytes -= len(received)
+        if self._free_bytes >= 0:
+            self._parts.append(received)
+        else:
+            self._finish(None)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Deliver the text if it is complete."""
+        if self.done.called:
+            return
+        if reason.check(ResponseDone, PotentialDataLoss):
+            self.done.callback(b''.join(self._parts))
+        else:
+            self.done.errback(reason)
+
+    def _cancel(self, _done: object) -> None:
+        # A connection that went silent must not return to the pool.
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+    def _finish(self, outcome: bytes | None) -> None:
+        self._parts.clear()
+        if not self.done.called:
+            self.done.callback(outcome)
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+
+def read_text(response: IResponse, max_bytes: int) -> Deferred[bytes | None]:
+    """Read the body of a response.
+
+    Parameters
+    ----------
+    response : IResponse
+        Response whose body was not read yet.
+    max_bytes : int
+        Largest accepted body.
+
+    Returns
+    -------
+    Deferred of bytes or None
+        The body; None if it is too large. Fails if the connection is lost.
+    """
+    collector = TextCollector(max_bytes)
+    response.deliverBody(collector)
+    return collector.done
--- a/balsamshed/front_ends/load_probes.py
+++ b/balsamshed/front_ends/load_probes.py
@@ -4,8 +4,10 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from treq.client import HTTPClient
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.iweb import IAgent
 
+from balsamshed.front_ends.http_client import read_text, send_request
 from balsamshed.front_ends.performers import EventSink, Performers
 from balsamshed.node.effects import ProbeLoad
 from balsamshed.node.events import LoadProbeFailed, LoadReported
@@ -19,13 +21,19 @@
 _MILLISECONDS: Final = 1000
 
 
-def create_probe_performers(http: HTTPClient, sink: EventSink) -> Performers:
+def create_probe_performers(
+    http: IAgent,
+    clock: IReactorTime,
+    sink: EventSink,
+) -> Performers:
     """Return the function that probes a backend server.
 
     Parameters
     ----------
-    http : HTTPClient
-        HTTP client with a connection pool.
+    http : IAgent
+        From `create_http`.
+    clock : IReactorTime
+        The reactor.
     sink : callable
         Takes the report or the failure as an event.
 
@@ -37,18 +45,20 @@
 
     def probe_load(effect: ProbeLoad) -> None:
         def read(response: Any) -> Any:
-            if response.length > MAX_REPORT_BYTES:
-                raise ValueError('load report is too large')
-            return response.content()
+            return read_text(response, MAX_REPORT_BYTES)
 
-        def report(text: bytes) -> None:
+        def report(text: bytes | None) -> None:
+            if text is None:
+                raise ValueError('load report is too large')
             sink(LoadReported(parse_report(effect.host, text)))
 
         def fail(failure: Any) -> None:
             sink(LoadProbeFailed(effect.host))
 
-        probe = http.get(effect.url, timeout=PROBE_SECONDS)
-        probe.addCallback(read).addCallback(report).addErrback(fail)
+        probe = send_request(http, 'GET', effect.url, {})
+        probe.addCallback(read)
+        probe.addTimeout(PROBE_SECONDS, clock)
+        probe.addCallback(report).addErrback(fail)
 
     return {ProbeLoad: probe_load}
 
--- a/balsamshed/front_ends/process.py
+++ b/balsamshed/front_ends/process.py
@@ -19,21 +19,23 @@
     DataPort,
     create_packet_performers,
 )
+from balsamshed.front_ends.http_client import create_http
 from balsamshed.front_ends.load_probes import create_probe_performers
 from balsamshed.front_ends.metrics import (
     Metrics,
     create_metrics,
     create_metrics_site,
 )
+from balsamshed.front_ends.names import create_literal_resolver
 from balsamshed.front_ends.peer_port import PeerPort, create_peer_performers
 from balsamshed.front_ends.performers import (
     EventSink,
     Performers,
     create_event_sink,
 )
-from balsamshed.front_ends.store_client import create_http, create_store_client
+from balsamshed.front_ends.store_client import create_store_client
 from balsamshed.front_ends.store_port import create_store_performers
-from balsamshed.logs.events import log_event
+from balsamshed.logs.events import EventWriter, create_event_log, start_logs
 from balsamshed.members.member import Member
 from balsamshed.node.dispatch import handle_event
 from balsamshed.node.effects import (
@@ -65,19 +67,22 @@
     settings : BalancerSettings
         Checked settings.
     """
+    start_logs()
     node = _create_node(settings)
     metrics = create_metrics()
     performers: Performers = {}
+    write_log = create_event_log()
     sink = create_event_sink(_create_decider(node), performers)
+    reactor.installNameResolver(create_literal_resolver())
     with _open_ports(settings, node, metrics, sink, performers):
-        performers.update(_create_process_performers(metrics))
+        performers.update(_create_process_performers(metrics, write_log))
         http = create_http(reactor)
         client = create_store_client(settings.store_url, http, reactor)
         performers.update(create_store_performers(client, sink))
-        performers.update(create_probe_performers(http, sink))
+        performers.update(create_probe_performers(http, reactor, sink))
         _install_signals(sink)
         _start_ticks(node, metrics, sink)
-        log_event(
+        write_log(
             'started',
             name=settings.name,
             group=settings.group,
@@ -86,7 +91,7 @@
             control_port=settings.control_port,
         )
         reactor.run(installSignalHandlers=False)
-    log_event('stopped', name=settings.name)
+    write_log('stopped', name=settings.name)
 
 
 def _create_node(settings: BalancerSettings) -> Node:
@@ -184,9 +189,12 @@
     return bool(node.catalog.records) and not node.is_leaving
 
 
-def _create_process_performers(metrics: Metrics) -> Performers:
-    def write_log(effect: LogEvent) -> None:
-        log_event(effect.name, **effect.fields)
+def _create_process_performers(
+    metrics: Metrics,
+    write_log: EventWriter,
+) -> Performers:
+    def log_event(effect: LogEvent) -> None:
+        write_log(effect.name, **effect.fields)
 
     def count_event(effect: CountEvent) -> None:
         metrics.count_event(effect.name)
@@ -199,7 +207,7 @@
             reactor.stop()
 
     return {
-        LogEvent: write_log,
+        LogEvent: log_event,
         CountEvent: count_event,
         Drop: count_drop,
         Stop: stop,
--- a/balsamshed/front_ends/store_client.py
+++ b/balsamshed/front_ends/store_client.py
@@ -6,23 +6,15 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 from typing import Any, Final, TypeVar
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
-from treq.client import HTTPClient
 from twisted.internet import error
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
-from twisted.internet.protocol import Protocol
 from twisted.internet.task import deferLater
-from twisted.python.failure import Failure
-from twisted.web.client import (
-    Agent,
-    HTTPConnectionPool,
-    PotentialDataLoss,
-    ResponseDone,
-)
-from twisted.web.iweb import IResponse
+from twisted.web.iweb import IAgent
 
+from balsamshed.front_ends.http_client import read_text, send_request
 from balsamshed.platform.requests import (
     PutObject,
     PutResponse,
@@ -128,15 +120,9 @@
 _Call = Callable[..., Awaitable[Any]]
 
 
-def create_http(reactor: Any) -> HTTPClient:
-    """Create an HTTP client that keeps connections open between calls."""
-    pool = HTTPConnectionPool(reactor)
-    return HTTPClient(Agent(reactor, pool=pool, connectTimeout=CALL_SECONDS))
-
-
 def create_store_client(
     url: str,
-    http: HTTPClient,
+    http: IAgent,
     clock: IReactorTime,
     call_seconds: float = CALL_SECONDS,
     draw_jitter: Callable[[], float] = random.random,
@@ -147,7 +133,7 @@
     ----------
     url : str
         Address of the object API, ``http://host:port``.
-    http : HTTPClient
+    http : IAgent
         From `create_http`, or one for tests.
     clock : IReactorTime
         The reactor, or a clock for tests.
@@ -188,7 +174,7 @@
             '/v1/objects',
             call_seconds,
             MAX_LIST_BYTES,
-            params={'prefix': prefix},
+            query={'prefix': prefix},
         )
         return _decode(reply, parse_listing)
 
@@ -202,7 +188,7 @@
             '/v1/watch',
             max(2 * timeout_ms / 1000, call_seconds),
             MAX_LIST_BYTES,
-            params={'prefix': prefix, 'since': since, 'timeout_ms': timeout_ms},
+            query={'prefix': prefix, 'since': since, 'timeout_ms': timeout_ms},
         )
         return _decode(reply, parse_listing)
 
@@ -249,7 +235,7 @@
                 'If-Match': str(expected_version),
                 'Content-Type': 'application/json',
             },
-            data=text,
+            body=text,
         )
         if isinstance(reply, _Reply) and reply.code == _PRECONDITION_FAILED:
             return _decode(reply, _parse_refused, _PRECONDITION_FAILED)
@@ -291,28 +277,30 @@
 
 def _create_exchange(
     url: str,
-    http: HTTPClient,
+    http: IAgent,
     clock: IReactorTime,
 ) -> _Exchange:
     async def exchange_unlimited(
         method: str,
         path: str,
         max_bytes: int,
-        **options: Any,
+        query: Mapping[str, Any] | None = None,
+        headers: Mapping[str, str] | None = None,
+        body: bytes | None = None,
     ) -> _Reply | StoreFailure:
         call = f'{method} {path}'
         try:
-            response = await http.request(
+            response = await send_request(
+                http,
                 method,
-                f'{url}{path}',
-                unbuffered=True,
-                allow_redirects=False,
-                **options,
+                f'{url}{path}{_build_query(query)}',
+                headers or {},
+                body,
             )
         except Exception as failed:
             return StoreFailure(call, _get_reason(failed), str(failed))
         try:
-            text = await _read_text(response, max_bytes)
+            text = await read_text(response, max_bytes)
         except Exception as failed:
             return StoreFailure(call, FailureReason.LOST, str(failed))
         if text is None:
@@ -343,48 +331,8 @@
     return exchange
 
 
-class _TextCollector(Protocol):
-    """Collects a response up to a limit."""
-
-    def __init__(self, max_bytes: int) -> None:
-        self.done: Deferred[bytes | None] = Deferred(self._cancel)
-        self._free_bytes = max_bytes
-        self._parts: list[bytes] = []
-
-    def dataReceived(self, received: bytes) -> None:  # noqa: N802
-        """Keep a part, or give up at the limit."""
-        self._free_bytes -= len(received)
-        if self._free_bytes >= 0:
-            self._parts.append(received)
-        else:
-            self._finish(None)
-
-    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
-        """Deliver the text if it is complete."""
-        if self.done.called:
-            return
-        if reason.check(ResponseDone, PotentialDataLoss):
-            self.done.callback(b''.join(self._parts))
-        else:
-            self.done.errback(reason)
-
-    def _cancel(self, _done: object) -> None:
-        # A connection that went silent must not return to the pool.
-        if self.transport is not None:
-            self.transport.loseConnection()
-
-    def _finish(self, outcome: bytes | None) -> None:
-        self._parts.clear()
-        if not self.done.called:
-            self.done.callback(outcome)
-        if self.transport is not None:
-            self.transport.loseConnection()
-
-
-def _read_text(response: IResponse, max_bytes: int) -> Deferred[bytes | None]:
-    collector = _TextCollector(max_bytes)
-    response.deliverBody(collector)
-    return collector.done
+def _build_query(query: Mapping[str, Any] | None) -> str:
+    return f'?{urlencode(query)}' if query else ''
 
 
 def _decode(
