Find the members of a group with SWIM

Cause: the ownership of flows needs the list of live members, and nothing kept it yet. Time and random numbers are arguments, messages are returned. Ruled out: SUSPECT for a leaving member, since LEAVING precedes it at the same incarnation; its suspicion is kept by the observer alone. Taking over unknown members as dead: members that joined late would pass the dead on for ever.

--- /dev/null
+++ b/balsamshed/members/beliefs.py
@@ -0,0 +1,214 @@
+"""Which news about a member is believed."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+from types import MappingProxyType
+from typing import Final
+
+from balsamshed.members.member import Member, MemberState
+from balsamshed.members.membership import (
+    OWNER_STATES,
+    REACHABLE_STATES,
+    Membership,
+    get_address,
+    raise_incarnation,
+)
+
+# At the same incarnation the higher one is believed.
+_PRECEDENCE: Final[Mapping[MemberState, int]] = MappingProxyType(
+    {
+        MemberState.ALIVE: 0,
+        MemberState.SUSPECT: 1,
+        MemberState.LEAVING: 2,
+        MemberState.DEAD: 3,
+    }
+)
+_ACCUSATIONS: Final = frozenset((MemberState.SUSPECT, MemberState.DEAD))
+
+
+def merge_updates(
+    membership: Membership,
+    updates: Iterable[Member],
+    now: float,
+) -> bool:
+    """Take over news about members.
+
+    Parameters
+    ----------
+    membership : Membership
+        Changed in place.
+    updates : iterable of Member
+        News from another member.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    bool
+        Whether the own incarnation was raised to refute some of the news.
+    """
+    refuted = False
+    for update in updates:
+        if update.name == membership.own.name:
+            refuted = _refute(membership, update) or refuted
+        elif _is_news(membership, update):
+            store_member(membership, update, now)
+    return refuted
+
+
+def store_member(membership: Membership, member: Member, now: float) -> None:
+    """Replace the belief about another member and queue it as news.
+
+    Parameters
+    ----------
+    membership : Membership
+        Changed in place.
+    member : Member
+        What is believed from now on.
+    now : float
+        Monotonic time in seconds.
+    """
+    name = member.name
+    known = membership.peers.get(name)
+    if known is None or _get_role(known) != _get_role(member):
+        membership.view_version += 1
+    membership.peers[name] = member
+    membership.news[name] = 0
+    membership.suspected_at.pop(name, None)
+    membership.died_at.pop(name, None)
+    if member.state is MemberState.SUSPECT:
+        membership.suspected_at[name] = now
+    elif member.state is MemberState.DEAD:
+        membership.died_at[name] = now
+        membership.checked_at.pop(name, None)
+        membership.catalogs.pop(name, None)
+
+
+def suspect_member(membership: Membership, name: str, now: float) -> bool:
+    """Begin to suspect a member that did not acknowledge a probe.
+
+    Parameters
+    ----------
+    membership : Membership
+        Changed in place.
+    name : str
+        Name of the member.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    bool
+        Whether this is news.
+    """
+    peer = membership.peers.get(name)
+    if peer is None or peer.state not in REACHABLE_STATES:
+        return False
+    if peer.state is MemberState.ALIVE:
+        suspect = replace(peer, state=MemberState.SUSPECT)
+        store_member(membership, suspect, now)
+        return True
+    # LEAVING precedes SUSPECT at the same incarnation, so the suspicion of a
+    # leaving member is kept here only, and ends with its next message.
+    membership.suspected_at.setdefault(name, now)
+    return False
+
+
+def bury_member(membership: Membership, name: str, now: float) -> None:
+    """Declare a member dead.
+
+    Parameters
+    ----------
+    membership : Membership
+        Changed in place.
+    name : str
+        Name of the member.
+    now : float
+        Monotonic time in seconds.
+    """
+    dead = replace(membership.peers[name], state=MemberState.DEAD)
+    store_member(membership, dead, now)
+
+
+def forget_member(membership: Membership, name: str) -> None:
+    """Drop everything known about a dead member.
+
+    Parameters
+    ----------
+    membership : Membership
+        Changed in place.
+    name : str
+        Name of the member.
+    """
+    membership.peers.pop(name)
+    membership.died_at.pop(name)
+    membership.news.pop(name, None)
+
+
+def note_contact(membership: Membership, name: str, now: float) -> None:
+    """Record that a message of a member has arrived.
+
+    Parameters
+    ----------
+    membership : Membership
+        Changed in place.
+    name : str
+        Name of the member.
+    now : float
+        Monotonic time in seconds.
+    """
+    peer = membership.peers.get(name)
+    if peer is None or peer.state not in REACHABLE_STATES:
+        return
+    membership.checked_at[name] = now
+    if peer.state is MemberState.LEAVING:
+        membership.suspected_at.pop(name, None)
+
+
+def _is_news(membership: Membership, update: Member) -> bool:
+    known = membership.peers.get(update.name)
+    if known is None:
+        # Otherwise members that joined late would pass the dead on to each
+        # other for ever, each forgetting them at another time.
+        return update.state is not MemberState.DEAD
+    return _get_precedence(update) > _get_precedence(known)
+
+
+def _get_precedence(member: Member) -> tuple[int, int]:
+    return member.incarnation, _PRECEDENCE[member.state]
+
+
+def _get_role(member: Member) -> tuple[object, ...]:
+    """Return what the lists of members depend on."""
+    return (
+        member.state in OWNER_STATES,
+        member.state in REACHABLE_STATES,
+        member.data_centre,
+        member.data_port,
+        get_address(member),
+    )
+
+
+def _refute(membership: Membership, update: Member) -> bool:
+    """Raise the own incarnation above that of a wrong belief.
+
+    A higher incarnation than the own one belongs to a former process of the
+    same name. Its address may differ, even at the same incarnation.
+    """
+    own = membership.own
+    if update.incarnation < own.incarnation:
+        return False
+    outdated = update.incarnation == own.incarnation and (
+        update == own or _is_earlier_claim(own, update)
+    )
+    if outdated:
+        return False
+    raise_incarnation(membership, update.incarnation + 1)
+    return True
+
+
+def _is_earlier_claim(own: Member, update: Member) -> bool:
+    """Tell whether the update is the own member before it began to leave."""
+    if update.state is not MemberState.ALIVE:
+        return False
+    return replace(update, state=own.state) == own
--- /dev/null
+++ b/balsamshed/members/protocol.py
@@ -0,0 +1,430 @@
+"""Rules of the SWIM protocol: ticks and messages in, messages out."""
+
+from dataclasses import replace
+from math import inf
+from typing import Final
+
+from balsamshed.members.beliefs import (
+    bury_member,
+    forget_member,
+    merge_updates,
+    note_contact,
+    suspect_member,
+)
+from balsamshed.members.gossip import (
+    create_ack,
+    create_ping,
+    introduce_group,
+    pick_some,
+    ping_member,
+    select_updates,
+    spread_news,
+)
+from balsamshed.members.member import Member, MemberState
+from balsamshed.members.membership import (
+    Membership,
+    Outgoing,
+    Pause,
+    Probe,
+    RelayedPing,
+    get_address,
+    list_reachable_peers,
+    note_catalog,
+    raise_incarnation,
+)
+from balsamshed.members.messages import Ack, Ping, PingRequest
+
+#: Time between two calls of `run_tick`.
+TICK_SECONDS: Final = 0.1
+#: Length of a protocol period.
+PERIOD_SECONDS: Final = 0.5
+#: Time after which others are asked to ping the target.
+DIRECT_TIMEOUT_SECONDS: Final = 0.2
+#: Members that are asked to ping the target.
+INDIRECT_PROBES: Final = 3
+#: Time in which a suspected member can refute the suspicion.
+SUSPICION_SECONDS: Final = 1.0
+#: A tick that is later than this means that the process was paused.
+PAUSE_SECONDS: Final = 1.0
+#: Time between two pings to an address that has no reachable member.
+SWEEP_SECONDS: Final = 5.0
+#: Time after which a dead member is forgotten.
+FORGET_SECONDS: Final = 24 * 3600.0
+# Addresses of the VM list that a member without a group pings in a period.
+_HINTS_IN_PERIOD: Final = 6
+# Ticks are timers: sums of floating-point numbers fall short of a limit.
+_ROUNDING_SECONDS: Final = 0.001
+
+
+def run_tick(
+    membership: Membership,
+    now: float,
+) -> tuple[Outgoing | Pause, ...]:
+    """Do what is due; to be called every ``TICK_SECONDS``.
+
+    Parameters
+    ----------
+    membership : Membership
+        Changed in place.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of Outgoing and Pause
+        Messages to send, after a `Pause` if the process did not run.
+    """
+    late = _measure_delay(membership, now)
+    membership.ticked_at = now
+    if late > PAUSE_SECONDS:
+        return (Pause(late), *_resume(membership, now))
+    outgoing = list(_probe_indirectly(membership, now))
+    spread = _bury_suspects(membership, now)
+    if _is_due(membership.period_started_at, PERIOD_SECONDS, now):
+        spread = _end_probe(membership, now, outgoing) or spread
+        outgoing.extend(_start_period(membership, now))
+    if _is_due(membership.swept_at, SWEEP_SECONDS, now):
+        membership.swept_at = now
+        _forget_dead(membership, now)
+        outgoing.extend(_ping_unreachable(membership))
+    if spread:
+        outgoing.extend(spread_news(membership))
+    return tuple(outgoing)
+
+
+def handle_ping(
+    membership: Membership,
+    ping: Ping,
+    now: float,
+) -> tuple[Outgoing, ...]:
+    """Acknowledge a ping, and introduce a new member to the group.
+
+    Parameters
+    ----------
+    membership : Membership
+        Changed in place.
+    ping : Ping
+        As received; the first update is the sender, to which the answer goes.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of Outgoing
+        Messages to send.
+    """
+    sender = _find_sender(membership, ping.updates)
+    if sender is None:
+        return ()
+    is_new = _is_new(membership, sender)
+    refuted = _take_news(membership, ping, now)
+    note_catalog_of(membership, sender, ping, now)
+    outgoing = [create_ack(membership, ping, sender)]
+    if is_new:
+        outgoing.extend(introduce_group(membership, ping, sender))
+    if refuted:
+        outgoing.extend(spread_news(membership))
+    return tuple(outgoing)
+
+
+def handle_ack(
+    membership: Membership,
+    ack: Ack,
+    now: float,
+) -> tuple[Outgoing, ...]:
+    """End the probe, or pass on an acknowledgement that another waits for.
+
+    Parameters
+    ----------
+    membership : Membership
+        Changed in place.
+    ack : Ack
+        As received; the first update is the member that was pinged.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of Outgoing
+        Messages to send.
+    """
+    sender = _find_sender(membership, ack.updates)
+    if sender is None:
+        return ()
+    refuted = _take_news(membership, ack, now)
+    note_catalog_of(membership, sender, ack, now)
+    probe = membership.probe
+    # Another process may have taken over the address of the target.
+    if probe and (probe.sequence, probe.target) == (ack.sequence, sender.name):
+        membership.probe = None
+    outgoing = list(_pass_on(membership, ack, now))
+    if refuted:
+        outgoing.extend(spread_news(membership, sender))
+    return tuple(outgoing)
+
+
+def handle_ping_request(
+    membership: Membership,
+    request: PingRequest,
+    now: float,
+) -> tuple[Outgoing, ...]:
+    """Ping a member on behalf of another one.
+
+    Parameters
+    ----------
+    membership : Membership
+        Changed in place.
+    request : PingRequest
+        As received; the first update is the sender.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of Outgoing
+        Messages to send; none if the target is not known here.
+    """
+    sender = _find_sender(membership, request.updates)
+    if sender is None:
+        return ()
+    refuted = _take_news(membership, request, now)
+    outgoing = list(spread_news(membership, sender) if refuted else ())
+    target = membership.peers.get(request.target)
+    if target is None:
+        return tuple(outgoing)
+    outgoing.append(ping_member(membership, target, sender.name))
+    membership.relayed[membership.sequence] = RelayedPing(
+        sender,
+        request.sequence,
+        now + PERIOD_SECONDS,
+    )
+    return tuple(outgoing)
+
+
+def leave(membership: Membership) -> tuple[Outgoing, ...]:
+    """Announce that this member leaves; it stays reachable until it stops.
+
+    Parameters
+    ----------
+    membership : Membership
+        Changed in place.
+
+    Returns
+    -------
+    tuple of Outgoing
+        Messages to send.
+    """
+    if membership.own.state is MemberState.LEAVING:
+        return ()
+    membership.own = replace(membership.own, state=MemberState.LEAVING)
+    membership.view_version += 1
+    return spread_news(membership)
+
+
+def note_catalog_of(
+    membership: Membership,
+    sender: Member,
+    message: Ping | Ack,
+    now: float,
+) -> None:
+    """Keep the catalog digest of a reachable member.
+
+    Parameters
+    ----------
+    membership : Membership
+        Changed in place.
+    sender : Member
+        Member that the message describes first.
+    message : Ping or Ack
+        As received.
+    now : float
+        Monotonic time in seconds.
+    """
+    peer = membership.peers.get(sender.name)
+    if peer is not None and peer.state is not MemberState.DEAD:
+        note_catalog(membership, sender.name, message.catalog, now)
+
+
+def _measure_delay(membership: Membership, now: float) -> float:
+    if membership.ticked_at is None:
+        return 0
+    return now - membership.ticked_at - TICK_SECONDS
+
+
+def _is_due(since: float | None, seconds: float, now: float) -> bool:
+    return since is None or now - since >= seconds - _ROUNDING_SECONDS
+
+
+def _resume(membership: Membership, now: float) -> tuple[Outgoing, ...]:
+    """Start over after a pause without accusing anyone.
+
+    Acknowledgements may have been lost while this process did not run
+    (Lifeguard, DSN-W 2018: a slow observer must not accuse others).
+    """
+    raise_incarnation(membership, 0)
+    membership.probe = None
+    membership.relayed.clear()
+    membership.suspected_at = dict.fromkeys(
+        membership.suspected_at,
+        now + PERIOD_SECONDS,
+    )
+    return (*_start_period(membership, now), *spread_news(membership))
+
+
+def _probe_indirectly(
+    membership: Membership,
+    now: float,
+) -> tuple[Outgoing, ...]:
+    probe = membership.probe
+    if probe is None or probe.indirect:
+        return ()
+    if not _is_due(membership.period_started_at, DIRECT_TIMEOUT_SECONDS, now):
+        return ()
+    membership.probe = replace(probe, indirect=True)
+    peers = [
+        peer
+        for peer in list_reachable_peers(membership)
+        if peer.name != probe.target
+    ]
+    return tuple(
+        Outgoing(
+            *get_address(helper),
+            PingRequest(
+                probe.sequence,
+                probe.target,
+                select_updates(membership),
+            ),
+        )
+        for helper in pick_some(peers, INDIRECT_PROBES, membership.draw)
+    )
+
+
+def _end_probe(
+    membership: Membership,
+    now: float,
+    outgoing: list[Outgoing],
+) -> bool:
+    """Suspect the target of an unanswered probe, and tell it so."""
+    probe = membership.probe
+    membership.probe = None
+    if probe is None or not suspect_member(membership, probe.target, now):
+        return False
+    outgoing.append(ping_member(membership, membership.peers[probe.target]))
+    return True
+
+
+def _start_period(
+    membership: Membership,
+    now: float,
+) -> tuple[Outgoing, ...]:
+    membership.period_started_at = now
+    membership.relayed = {
+        sequence: relayed
+        for sequence, relayed in membership.relayed.items()
+        if relayed.expires_at > now
+    }
+    peers = list_reachable_peers(membership)
+    if not peers:
+        return _search_group(membership)
+    target = _choose_target(membership, peers)
+    outgoing = ping_member(membership, target)
+    membership.probe = Probe(target.name, membership.sequence)
+    membership.checked_at[target.name] = now
+    return (outgoing,)
+
+
+def _choose_target(membership: Membership, peers: list[Member]) -> Member:
+    """Choose the member that has been checked least recently.
+
+    A killed member is probed sooner than in a random order, since those that
+    are about to probe it do not prefer a member that they have just heard.
+    """
+
+    def get_rank(peer: Member) -> tuple[float, int]:
+        checked_at = membership.checked_at.get(peer.name, -inf)
+        return checked_at, membership.draw(1 << 16)
+
+    return min(peers, key=get_rank)
+
+
+def _search_group(membership: Membership) -> tuple[Outgoing, ...]:
+    hints = pick_some(
+        sorted(membership.hints - membership.seeds),
+        _HINTS_IN_PERIOD,
+        membership.draw,
+    )
+    addresses = (*sorted(membership.seeds), *hints)
+    return tuple(create_ping(membership, address) for address in addresses)
+
+
+def _ping_unreachable(membership: Membership) -> list[Outgoing]:
+    """Ping the dead and every known address that has no reachable member.
+
+    Both sides of a healed partition find each other by these pings.
+    """
+    dead = [membership.peers[name] for name in membership.died_at]
+    known = {get_address(peer) for peer in list_reachable_peers(membership)}
+    known.update(map(get_address, dead))
+    addresses = (membership.seeds | membership.hints) - known
+    return [
+        *(ping_member(membership, peer) for peer in dead),
+        *(create_ping(membership, address) for address in sorted(addresses)),
+    ]
+
+
+def _bury_suspects(membership: Membership, now: float) -> bool:
+    expired = [
+        name
+        for name, since in membership.suspected_at.items()
+        if _is_due(since, SUSPICION_SECONDS, now)
+    ]
+    for name in expired:
+        bury_member(membership, name, now)
+    return bool(expired)
+
+
+def _forget_dead(membership: Membership, now: float) -> None:
+    for name, since in tuple(membership.died_at.items()):
+        is_seed = get_address(membership.peers[name]) in membership.seeds
+        if not is_seed and _is_due(since, FORGET_SECONDS, now):
+            forget_member(membership, name)
+
+
+def _find_sender(
+    membership: Membership,
+    updates: tuple[Member, ...],
+) -> Member | None:
+    """Return the first update unless it is missing or the own member."""
+    if not updates or updates[0].name == membership.own.name:
+        return None
+    return updates[0]
+
+
+def _is_new(membership: Membership, sender: Member) -> bool:
+    """Tell whether the sender has joined or was restarted."""
+    known = membership.peers.get(sender.name)
+    if known is None or known.state is MemberState.DEAD:
+        return True
+    return known.incarnation > sender.incarnation
+
+
+def _take_news(
+    membership: Membership,
+    message: Ping | Ack | PingRequest,
+    now: float,
+) -> bool:
+    refuted = merge_updates(membership, message.updates, now)
+    note_contact(membership, message.updates[0].name, now)
+    return refuted
+
+
+def _pass_on(
+    membership: Membership,
+    ack: Ack,
+    now: float,
+) -> tuple[Outgoing, ...]:
+    relayed = membership.relayed.pop(ack.sequence, None)
+    if relayed is None or relayed.expires_at < now:
+        return ()
+    passed_on = replace(ack, sequence=relayed.sequence)
+    return (Outgoing(*get_address(relayed.asker), passed_on),)
--- /dev/null
+++ b/balsamshed/members/tests/network.py
@@ -0,0 +1,232 @@
+"""In-memory network for several memberships, with faults and a clock."""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field, replace
+from heapq import heappop, heappush
+from itertools import count
+
+from xxhash import xxh3_64_intdigest
+
+from balsamshed.members.member import Member
+from balsamshed.members.membership import (
+    ControlAddress,
+    Membership,
+    Outgoing,
+    Pause,
+    add_hints,
+    create_membership,
+    get_address,
+    list_owners,
+)
+from balsamshed.members.messages import Ack, Ping, PingRequest
+from balsamshed.members.protocol import (
+    TICK_SECONDS,
+    handle_ack,
+    handle_ping,
+    handle_ping_request,
+    run_tick,
+)
+
+HANDLERS = {
+    Ping: handle_ping,
+    Ack: handle_ack,
+    PingRequest: handle_ping_request,
+}
+
+
+def create_draw(seed: int) -> Callable[[int], int]:
+    """Return a source of random numbers that repeats for a seed."""
+    numbers = count()
+
+    def draw(limit: int) -> int:
+        return xxh3_64_intdigest(next(numbers).to_bytes(8), seed) % limit
+
+    return draw
+
+
+@dataclass(frozen=True, slots=True)
+class Faults:
+    """Shares of messages in percent, and the longest delay in seconds."""
+
+    lost: int = 0
+    late: int = 0
+    repeated: int = 0
+    delay: float = 0.001
+    longest_delay: float = 2.0
+
+
+def lose_nothing(_source: str, _target: str) -> int:
+    """Percentage of lost messages between two members."""
+    return 0
+
+
+@dataclass(slots=True)
+class Process:
+    """A running balancer, of which only the membership exists."""
+
+    membership: Membership
+    paused: bool = False
+    inbox: list[Outgoing] = field(default_factory=list)
+    pauses: list[Pause] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Network:
+    """Processes by name, and messages on their way by their arrival."""
+
+    seed: int = 1
+    now: float = 1000
+    faults: Faults = Faults()
+    lose: Callable[[str, str], int] = lose_nothing
+    processes: dict[str, Process] = field(default_factory=dict)
+    # Names of the cut-off side of a partition.
+    cut_off: frozenset[str] = frozenset()
+    sent: Callable[[str, Outgoing], None] | None = None
+    queue: list[tuple[float, int, str, object]] = field(default_factory=list)
+    numbers: Iterator[int] = field(default_factory=count)
+    draw: Callable[[int], int] = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the source of random numbers from the seed."""
+        self.draw = create_draw(self.seed)
+
+    def start(self, own: Member, seeds: Iterable[ControlAddress]) -> None:
+        """Start a process, with its first tick at a random phase."""
+        draw = create_draw(
+            xxh3_64_intdigest(own.name.encode(), next(self.numbers))
+        )
+        membership = create_membership(own, seeds, draw)
+        process = Process(membership)
+        self.processes[own.name] = process
+        phase = self.draw(100) / 1000
+        self.push(self.now + phase, own.name, process)
+
+    def start_group(self, size: int, data_centres: int = 3) -> None:
+        """Start members that know the first two as seeds, and let them join."""
+        members = [create_member(index, data_centres) for index in range(size)]
+        seeds = list(map(get_address, members[:2]))
+        for member in members:
+            self.start(member, seeds)
+        self.run(10)
+
+    def kill(self, name: str) -> None:
+        """End a process without notice."""
+        del self.processes[name]
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on with what has arrived meanwhile."""
+        process = self.processes[name]
+        process.paused = False
+        arrived = process.inbox
+        process.inbox = []
+        for outgoing in arrived:
+            self.push(self.now, '', outgoing)
+        self.push(self.now, name, process)
+
+    def list_vms(self) -> None:
+        """Give every process the true list of processes as hints."""
+        members = [entry.membership.own for entry in self.processes.values()]
+        for process in self.processes.values():
+            add_hints(process.membership, members)
+
+    def run(self, seconds: float) -> None:
+        """Advance the clock."""
+        end = self.now + seconds
+        while self.queue and self.queue[0][0] <= end:
+            moment, _number, source, event = heappop(self.queue)
+            self.now = max(self.now, moment)
+            if isinstance(event, Process):
+                self.tick(source, event)
+            elif isinstance(event, Outgoing):
+                self.deliver(event)
+        self.now = end
+
+    def tick(self, name: str, process: Process) -> None:
+        """Run a tick unless the process was killed, restarted or paused."""
+        if self.processes.get(name) is not process or process.paused:
+            return
+        outcome = run_tick(process.membership, self.now)
+        process.pauses.extend(
+            entry for entry in outcome if isinstance(entry, Pause)
+        )
+        self.send(name, outcome)
+        self.push(self.now + TICK_SECONDS, name, process)
+
+    def deliver(self, outgoing: Outgoing) -> None:
+        """Hand a message to the process at its address."""
+        process = self.find(outgoing)
+        if process is None:
+            return
+        if process.paused:
+            process.inbox.append(outgoing)
+            return
+        membership = process.membership
+        handler = HANDLERS[type(outgoing.message)]
+        outcome = handler(membership, outgoing.message, self.now)
+        self.send(membership.own.name, outcome)
+
+    def find(self, outgoing: Outgoing) -> Process | None:
+        """Return the process at the address of a message."""
+        address = (outgoing.host, outgoing.control_port)
+        for process in self.processes.values():
+            if get_address(process.membership.own) == address:
+                return process
+        return None
+
+    def send(self, source: str, outcome: Iterable[Outgoing | Pause]) -> None:
+        """Put messages on their way, subject to the faults."""
+        for outgoing in outcome:
+            if isinstance(outgoing, Pause):
+                continue
+            if self.sent is not None:
+                self.sent(source, outgoing)
+            self.push_with_faults(source, outgoing)
+
+    def push_with_faults(self, source: str, outgoing: Outgoing) -> None:
+        """Lose, delay or repeat a message."""
+        process = self.find(outgoing)
+        if process is None:
+            return
+        target = process.membership.own.name
+        if (source in self.cut_off) != (target in self.cut_off):
+            return
+        faults = self.faults
+        lost = max(faults.lost, self.lose(source, target))
+        if self.hits(lost):
+            return
+        for _ in range(2 if self.hits(faults.repeated) else 1):
+            delay = faults.delay
+            if self.hits(faults.late):
+                delay = faults.longest_delay * self.draw(1000) / 1000
+            self.push(self.now + delay, '', outgoing)
+
+    def hits(self, percentage: int) -> bool:
+        """Tell whether a fault of this probability occurs."""
+        return percentage > 0 and self.draw(100) < percentage
+
+    def push(self, moment: float, source: str, event: object) -> None:
+        """Queue a tick or a delivery."""
+        heappush(self.queue, (moment, next(self.numbers), source, event))
+
+
+def create_member(index: int, data_centres: int = 3, life: int = 0) -> Member:
+    """Describe a member; each life of it has another address."""
+    return Member(
+        name=f'balancer-{index:02}',
+        data_centre=f'qc-est-{index % data_centres}',
+        host=f'10.20.{life}.{index + 1}',
+        data_port=7000,
+        control_port=7001,
+    )
+
+
+def restart(network: Network, index: int, life: int) -> None:
+    """Replace a process by one that knows nothing of the former one."""
+    member = create_member(index, life=life)
+    seeds = [get_address(create_member(number)) for number in range(2)]
+    network.start(replace(member, incarnation=0), seeds)
+
+
+def list_names(membership: Membership) -> list[str]:
+    """List the names of the owners."""
+    return [member.name for member in list_owners(membership)]
