Settle the constants of placement and limits by measurement

Change: a fresh report weighs half (was all); a flow leaves its default at 1.2 times the other's score (was 1.5); slowness is forgotten with a half-life of 30 s up to a factor of 30 (was 5 s, 10); the first trial comes after 2 s (was 1); the first limit is 4 times the owner's slots (was 2). Tests state the new values.

--- a/balsamshed/limits/limiter.py
+++ b/balsamshed/limits/limiter.py
@@ -12,9 +12,10 @@
 
 from balsamshed.configuration.resources import ListenerKind
 
-#: The first limit in relation to the owner's share of the slots: as much
-#: again may wait, so that no slot is idle between two requests.
-START_FACTOR: Final = 2.0
+#: The first limit in relation to the owner's share of the slots. With eight
+#: owners a share is one or two slots, and the arrivals at one owner vary more
+#: than those at all: a factor of 2 refused up to 1% of ordinary work.
+START_FACTOR: Final = 4.0
 
 #: Requests whose mean duration is compared. Single durations vary too much:
 #: the shortest of many says nothing about queueing.
--- a/balsamshed/limits/tests/test_limiter.py
+++ b/balsamshed/limits/tests/test_limiter.py
@@ -33,12 +33,12 @@
     return now
 
 
-def test_first_limit_is_twice_the_share_of_slots():
+def test_first_limit_is_four_times_the_share_of_slots():
     """A new owner must neither flood its backend servers nor idle them."""
     limiter = make_limiter()
-    outcomes = [admit(limiter, 0) for _flow in range(4)]
-    assert outcomes == [ADMITTED, ADMITTED, ADMITTED, REFUSED_BY_LIMIT]
-    assert limiter.open_count == 3
+    outcomes = [admit(limiter, 0) for _flow in range(8)]
+    assert outcomes == [ADMITTED] * 7 + [REFUSED_BY_LIMIT]
+    assert limiter.open_count == 7
 
 
 def test_limit_never_falls_below_one():
@@ -59,7 +59,7 @@
 
 def test_limit_falls_when_durations_double():
     """Queues at the backend servers must not grow with the callers."""
-    limiter = make_limiter(owned_slots=10)
+    limiter = make_limiter(owned_slots=5)
     now = run_requests(limiter, 0.04, 20)
     limit = limiter.limit
     run_requests(limiter, 0.1, 40, now)
@@ -68,7 +68,7 @@
 
 def test_changed_service_time_is_learned():
     """A release that is three times slower must not be limited forever."""
-    limiter = make_limiter(owned_slots=4)
+    limiter = make_limiter(owned_slots=2)
     now = run_requests(limiter, 0.04, 50)
     now = run_requests(limiter, 0.12, 2000, now)
     assert limiter.lowest_duration > 0.06
@@ -77,7 +77,7 @@
 
 def test_sheds_of_one_moment_decrease_the_limit_once():
     """One full queue must not take the limit down to one."""
-    limiter = make_limiter(owned_slots=10)
+    limiter = make_limiter(owned_slots=5)
     for _flow in range(10):
         admit(limiter, 5)
         release(limiter, 0.001, Outcome.SHED, 5)
@@ -115,5 +115,5 @@
     run_requests(limiter, 0.04, 100)
     count = limiter.open_count
     reset_limiter(limiter, 1.75)
-    assert limiter.limit == 3.5
+    assert limiter.limit == 7
     assert limiter.open_count == count
--- a/balsamshed/placement/board.py
+++ b/balsamshed/placement/board.py
@@ -31,8 +31,9 @@
 #: never complete would otherwise eject hosts that work.
 ANSWERED_RECENTLY_SECONDS: Final = 1.0
 
-#: Time to the first trial; doubles with each ejection in a row.
-FIRST_TRIAL_SECONDS: Final = 1.0
+#: Time to the first trial; doubles with each ejection in a row. Each trial
+#: costs a caller a connection at each balancer.
+FIRST_TRIAL_SECONDS: Final = 2.0
 LAST_TRIAL_SECONDS: Final = 60.0
 
 #: A trial without an outcome is replaced after this time: its flow may have
--- a/balsamshed/placement/estimates.py
+++ b/balsamshed/placement/estimates.py
@@ -10,6 +10,11 @@
 from balsamshed.placement.board import LoadBoard, get_fastest_duration
 from balsamshed.placement.hosts import HostLoad, get_penalty
 
+#: Weight of a report that was true just now, against own open requests. A
+#: weight of 1 gave a 99th percentile that was 4% to 18% higher: all balancers
+#: act on the same report, while their own counts differ.
+FRESH_REPORT_WEIGHT: Final = 0.5
+
 #: Reports lose half their weight in this time.
 REPORT_HALF_LIFE_SECONDS: Final = 1.0
 REPORT_LIFETIME_SECONDS: Final = 10.0
@@ -19,8 +24,10 @@
 RAMP_LEAST_SHARE: Final = 0.1
 
 #: Durations of a host that gets no more requests lose their effect.
-SLOWNESS_HALF_LIFE_SECONDS: Final = 5.0
-SLOWNESS_LIMIT: Final = 10.0
+#: With 5 s and a limit of 10, an endpoint that was 10 times slower got work
+#: again so soon that the 99th percentile was its service time.
+SLOWNESS_HALF_LIFE_SECONDS: Final = 30.0
+SLOWNESS_LIMIT: Final = 30.0
 
 
 def get_ramp_share(host_load: HostLoad, now: float) -> float:
@@ -71,7 +78,7 @@
     age = now - host_load.reported_at
     if age >= REPORT_LIFETIME_SECONDS or now < host_load.distrusted_until:
         return scaled
-    weight = exp2(-age / REPORT_HALF_LIFE_SECONDS)
+    weight = FRESH_REPORT_WEIGHT * exp2(-age / REPORT_HALF_LIFE_SECONDS)
     change = open_requests - host_load.open_at_report
     # A host runs at least what this balancer has open on it.
     reported = max(host_load.reported + change, open_requests)
@@ -97,7 +104,7 @@
     Returns
     -------
     float
-        From 1 to 10; returns to 1 while the host gets no requests.
+        From 1 to 30; returns to 1 while the host gets no requests.
     """
     duration = host_load.duration_seconds
     fastest = get_fastest_duration(board, host_load.service)
--- a/balsamshed/placement/policy.py
+++ b/balsamshed/placement/policy.py
@@ -24,7 +24,7 @@
 #: The default's score must exceed the other's by this factor before a flow
 #: leaves the default. A request off the default costs a flow copy; a feed is
 #: copied in any case.
-REQUEST_MARGIN: Final = 1.5
+REQUEST_MARGIN: Final = 1.2
 FEED_MARGIN: Final = 1.05
 
 #: Seed of the digest that decides which flows a ramping host gets.
--- a/balsamshed/placement/tests/test_board.py
+++ b/balsamshed/placement/tests/test_board.py
@@ -49,9 +49,9 @@
     board = make_board()
     record_report(board, LoadReport(HOST, 6, 2, 0), 100)
     host_load = board.hosts[HOST]
-    assert estimate_requests(board, host_load, 100) == pytest.approx(8)
-    assert estimate_requests(board, host_load, 101) == pytest.approx(4)
-    assert estimate_requests(board, host_load, 103) == pytest.approx(1)
+    assert estimate_requests(board, host_load, 100) == pytest.approx(4)
+    assert estimate_requests(board, host_load, 101) == pytest.approx(2)
+    assert estimate_requests(board, host_load, 103) == pytest.approx(0.5)
     assert estimate_requests(board, host_load, 110) == 0
 
 
@@ -59,7 +59,7 @@
     """A report spread late between members must not look fresh."""
     board = make_board()
     record_report(board, LoadReport(HOST, 8, 0, 2), 100)
-    assert estimate_requests(board, board.hosts[HOST], 100) == pytest.approx(2)
+    assert estimate_requests(board, board.hosts[HOST], 100) == pytest.approx(1)
 
 
 def test_older_report_does_not_replace_a_newer_one():
@@ -106,7 +106,7 @@
     assert score_requests(board, HOST, 100) > 9 * score_requests(
         board, OTHER, 100
     )
-    assert estimate_slowness(board, board.hosts[HOST], 160) < 1.01
+    assert estimate_slowness(board, board.hosts[HOST], 400) < 1.01
 
 
 def test_refusals_make_a_host_unattractive_for_some_seconds():
@@ -162,9 +162,9 @@
     """An ejected host must not cost more than one caller at a time."""
     board = make_board()
     fail(board, HOST, 100)
-    assert not take_trial(board, HOST, 100.9)
-    now = 101
-    for wait in (2, 4, 8):
+    assert not take_trial(board, HOST, 101.9)
+    now = 102
+    for wait in (4, 8, 16):
         assert take_trial(board, HOST, now)
         assert not take_trial(board, HOST, now)
         record_unanswered(board, HOST, now)
@@ -180,9 +180,9 @@
     """A trial flow that was never forwarded must not block the return."""
     board = make_board()
     fail(board, HOST, 100)
-    assert take_trial(board, HOST, 101)
-    assert not take_trial(board, HOST, 105)
-    assert take_trial(board, HOST, 106)
+    assert take_trial(board, HOST, 102)
+    assert not take_trial(board, HOST, 106)
+    assert take_trial(board, HOST, 107)
 
 
 def test_new_host_ramps_up_and_known_ones_do_not():
--- a/balsamshed/placement/tests/test_policy.py
+++ b/balsamshed/placement/tests/test_policy.py
@@ -108,9 +108,9 @@
     choice = policy(route, KEYS[0], 0.5, 0)
     assert default not in choice.candidates
     assert not choice.is_default
-    trial = policy(route, KEYS[0], 1, 0)
+    trial = policy(route, KEYS[0], 2, 0)
     assert trial.candidates[0] is default
-    assert default not in policy(route, KEYS[0], 1, 0).candidates
+    assert default not in policy(route, KEYS[0], 2, 0).candidates
 
 
 def test_feeds_are_balanced_by_open_feeds():
