--- a/balsamshed/node/records.py
+++ b/balsamshed/node/records.py
@@ -37,7 +37,6 @@
     WriteRecord,
 )
 from balsamshed.node.state import Node
-from balsamshed.placement.board import observe_servers
 from balsamshed.placement.candidates import list_usable
 
 #: Members that a node sends newly learned records to.
@@ -94,13 +93,6 @@
     node.routing = derive_routing_table(node.catalog)
     digest = CatalogDigest(node.catalog.digest, node.catalog.highest_version)
     set_catalog(node.membership, digest, now)
-    for route in node.routing.listeners.values():
-        observe_servers(
-            node.board,
-            route.service.name,
-            route.backend_servers,
-            now,
-        )
     note_all_candidates(node, now)
     assign_probes(node)
 
--- a/testbed/connection.py
+++ b/testbed/connection.py
@@ -27,8 +27,9 @@
 INITIAL_TIMEOUT_SECONDS: Final = 0.2
 #: Transmissions of one segment before the connection is given up.
 MAX_TRIES: Final = 8
-#: How long a closed connection still acknowledges a repeated FIN.
-LINGER_SECONDS: Final = 3
+#: How long a closed connection still acknowledges a repeated FIN: longer than
+#: the 51 s in which the other end repeats it.
+LINGER_SECONDS: Final = 60
 
 _FIN: Final = int(TcpFlag.FIN)
 _SYN: Final = int(TcpFlag.SYN)
