Write the audit trail until the store confirms it

Cause: an audit object whose write failed was never written again, and the objects stood under the group's prefix, so that each list of the group would have grown past the limit of 4 MB. Ruled out: listing all audit objects at each start of a reader. Change: a queue of audit objects, repeated until confirmed; keys under audit/<group>/; a process that sees an object for the first time leaves out changes older than an hour; the command history reads the audit objects too.

--- /dev/null
+++ b/balsamshed/audit/tests/test_trail.py
@@ -0,0 +1,67 @@
+"""Guards against changes that are missing from the audit trail."""
+
+from balsamshed.audit.entries import ChangeEntry, append_change
+from balsamshed.audit.trail import (
+    MAX_WRITES,
+    AuditQueue,
+    confirm_write,
+    queue_changes,
+    read_trail,
+    take_writes,
+)
+from balsamshed.configuration.catalog import Record
+
+KEY = 'g/service/creneau'
+NOW = 1796371200.0
+
+
+def make_record(*versions, hour=8):
+    body = {'spec': {}}
+    previous = 0
+    for version in versions:
+        entry = ChangeEntry(
+            f'id-{version}',
+            'ana@desk',
+            f'2026-12-04T{hour:02}:00:00+00:00',
+            previous,
+            'apply',
+        )
+        body = append_change(body, entry)
+        previous = version
+    return Record(KEY, versions[-1], body)
+
+
+def test_versions_between_two_lists_are_found():
+    """A reader that was away must not leave a gap."""
+    queue = AuditQueue()
+    queue_changes(queue, make_record(3, 5, 9), 3, NOW)
+    assert list(queue.pending) == [
+        'audit/g/service.creneau.5',
+        'audit/g/service.creneau.9',
+    ]
+
+
+def test_an_object_is_written_until_the_store_confirms_it():
+    """A failed write must not lose an entry."""
+    queue = AuditQueue()
+    versions = range(2, 2 + MAX_WRITES + 2)
+    queue_changes(queue, make_record(*versions), 1, NOW)
+    first = take_writes(queue)
+    assert take_writes(queue) == first
+    for entry in first:
+        confirm_write(queue, entry.key)
+    rest = take_writes(queue)
+    assert len(rest) == 2
+    trail = read_trail(
+        Record(entry.key, 1, entry.body) for entry in (*first, *rest)
+    )
+    assert list(trail) == list(versions)
+
+
+def test_a_restart_leaves_old_changes_out():
+    """Each restart would write the whole history of the group again."""
+    queue = AuditQueue()
+    queue_changes(queue, make_record(3, 5, hour=1), 0, NOW)
+    assert not queue.pending
+    queue_changes(queue, make_record(7), 0, NOW)
+    assert list(queue.pending) == ['audit/g/service.creneau.7']
--- a/balsamshed/commands/objects.py
+++ b/balsamshed/commands/objects.py
@@ -6,7 +6,8 @@
 
 from twisted.internet.task import deferLater
 
-from balsamshed.audit.entries import list_versions
+from balsamshed.audit.entries import ChangeEntry, list_versions
+from balsamshed.audit.trail import get_audit_prefix, read_trail
 from balsamshed.commands.changes import (
     Change,
     is_name,
@@ -188,7 +189,10 @@
 
 @use_store
 def history(kind: Kind, name: str) -> Action:
-    """Show who changed an object, when and how; the last 16 changes.
+    """Show who changed an object, when and how.
+
+    The last 16 changes stand in the object itself, older ones in the audit
+    objects that the balancers write.
 
     Parameters
     ----------
@@ -202,10 +206,10 @@
         record = await _read(session, kind, name)
         if not isinstance(record, Record):
             return record
-        changes = list_versions(record.version, record.body)
+        trail = await _read_trail(session, record)
         rows = [
-            {'version': change.version, **asdict(change.entry)}
-            for change in changes
+            {'version': version, **asdict(entry)}
+            for version, entry in sorted(trail.items())
         ]
         if session.output == 'json':
             session.write_line(format_json(rows))
@@ -216,13 +220,29 @@
             [(*(row[key] for key in titles), row['change_id']) for row in rows],
         ):
             session.write_line(line)
-        if changes and changes[0].entry.from_version > 0:
-            session.write_note('note: older changes are not kept in the object')
+        if rows and rows[0]['from_version'] > 0:
+            session.write_note('note: older changes were not found')
         return ExitStatus.DONE
 
     return act
 
 
+async def _read_trail(
+    session: Session,
+    record: Record,
+) -> dict[int, ChangeEntry]:
+    trail: dict[int, ChangeEntry] = {}
+    prefix = get_audit_prefix(record.key)
+    listing = await session.client.list_objects(prefix)
+    if isinstance(listing, StoreFailure):
+        session.write_note(f'note: audit objects: {listing.reason}')
+    else:
+        trail.update(read_trail(listing.records))
+    changes = list_versions(record.version, record.body)
+    trail.update({change.version: change.entry for change in changes})
+    return trail
+
+
 async def _read(session: Session, kind: str, name: str) -> Record | ExitStatus:
     if not is_name(name) and kind != 'audit':
         return report_bad_name(session, name)
--- a/balsamshed/node/records.py
+++ b/balsamshed/node/records.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import Any, Final
 
-from balsamshed.audit.trail import build_audit_records
+from balsamshed.audit.trail import queue_changes
 from balsamshed.configuration.catalog import (
     Record,
     derive_routing_table,
@@ -34,7 +34,6 @@
     Effect,
     LogEvent,
     SendPeerMessage,
-    WriteRecord,
 )
 from balsamshed.node.state import Node
 from balsamshed.placement.candidates import list_usable
@@ -66,17 +65,17 @@
     Returns
     -------
     tuple of Effect
-        Messages to other members, log lines and audit objects.
+        Messages to other members and log lines.
     """
     known = {key: entry.version for key, entry in node.catalog.records.items()}
     taken = merge_records(node.catalog, records)
     if not taken:
         return ()
     apply_catalog(node, now)
+    _queue_audit(node, taken, known, now)
     return (
         *(_describe_record(node, record) for record in taken),
         *_spread(node, taken),
-        *_write_audit(node, taken, known),
     )
 
 
@@ -222,15 +221,18 @@
     ]
 
 
-def _write_audit(
+def _queue_audit(
     node: Node,
     records: tuple[Record, ...],
     known: dict[str, int],
-) -> list[WriteRecord]:
+    now: float,
+) -> None:
     if not is_first_reader(node):
-        return []
-    return [
-        WriteRecord(entry.key, entry.body, 0)
-        for record in records
-        for entry in build_audit_records(record, known.get(record.key, 0))
-    ]
+        return
+    for record in records:
+        queue_changes(
+            node.audit,
+            record,
+            known.get(record.key, 0),
+            now + node.wall_offset,
+        )
--- a/balsamshed/node/state.py
+++ b/balsamshed/node/state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+from balsamshed.audit.trail import AuditQueue
 from balsamshed.configuration.catalog import Catalog, derive_routing_table
 from balsamshed.configuration.resources import BackendServer
 from balsamshed.configuration.routing import RoutingTable
@@ -75,6 +76,8 @@
         Use of the object store.
     fleet : FleetStatus
         What this node knows about the others' configuration.
+    audit : AuditQueue
+        Audit objects that the store has not confirmed yet.
     readers : tuple of str
         Members that watch the store for this node's data centre.
     wanted_probes : tuple of BackendServer
@@ -116,6 +119,7 @@
     )
     limiters: dict[str, Limiter] = field(default_factory=dict)
     retries: dict[str, RetryBudget] = field(default_factory=dict)
+    audit: AuditQueue = field(default_factory=AuditQueue)
     readers: tuple[str, ...] = ()
     wanted_probes: tuple[BackendServer, ...] = ()
     fresh_reports: dict[int, tuple[LoadReport, float]] = field(
--- a/balsamshed/node/store.py
+++ b/balsamshed/node/store.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from balsamshed.audit.trail import confirm_write
 from balsamshed.members.membership import add_hints
 from balsamshed.node.effects import CountEvent, Effect, LogEvent
 from balsamshed.node.events import (
@@ -48,7 +49,8 @@
 
 
 def handle_written(node: Node, event: RecordWritten, now: float) -> Effects:
-    """Note that a status object was written."""
+    """Note that a status or audit object was written."""
+    confirm_write(node.audit, event.key)
     if event.key == _get_status_key(node):
         note_written(node.fleet, event.version)
     return ()
@@ -60,6 +62,7 @@
     now: float,
 ) -> Effects:
     """Follow the version that another reader wrote."""
+    confirm_write(node.audit, event.key)
     if event.key == _get_status_key(node):
         note_conflict(node.fleet, event.version)
     return ()
--- a/balsamshed/node/upkeep.py
+++ b/balsamshed/node/upkeep.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from typing import Final
 
+from balsamshed.audit.trail import take_writes
 from balsamshed.flows.copies import is_settled, take_batches
 from balsamshed.flows.table import (
     UNANSWERED_SECONDS,
@@ -67,6 +68,8 @@
 _STORE_SECONDS: Final = 0.1
 _CANDIDATES_SECONDS: Final = 0.25
 _STATUS_SECONDS: Final = 0.25
+# Longer than a call may take, so that a write is not repeated meanwhile.
+_AUDIT_SECONDS: Final = 3.0
 _PROBE_SECONDS: Final = 1.0
 _REPORTS_SECONDS: Final = 1.0
 _VMS_SECONDS: Final = 10.0
@@ -243,6 +246,13 @@
     return [WriteRecord(key, body, node.fleet.version)]
 
 
+def _write_audit(node: Node, now: float) -> list[Effect]:
+    return [
+        WriteRecord(entry.key, entry.body, 0)
+        for entry in take_writes(node.audit)
+    ]
+
+
 def _probe_load(node: Node, now: float) -> list[Effect]:
     return [
         ProbeLoad(server.host, server.load_url) for server in node.wanted_probes
@@ -290,6 +300,7 @@
     ('store', _STORE_SECONDS, _call_store),
     ('vms', _VMS_SECONDS, _list_vms),
     ('status', _STATUS_SECONDS, _write_status),
+    ('audit', _AUDIT_SECONDS, _write_audit),
     ('probes', _PROBE_SECONDS, _probe_load),
     ('reports', _REPORTS_SECONDS, _spread_reports),
 )
