Start the log of a balancer

Cause: nothing called start_logs, so absl dropped every line below WARNING and a balancer wrote no event at all. Ruled out: the output went elsewhere; both files of the process were empty after records had come into force. Change: run_balancer starts the log first. absl's flags are marked as parsed, since absl otherwise begins with a warning that is no event. Conclusion: tests can read from the log when a version came into force.

--- a/balsamshed/front_ends/process.py
+++ b/balsamshed/front_ends/process.py
@@ -33,7 +33,7 @@
 )
 from balsamshed.front_ends.store_client import create_http, create_store_client
 from balsamshed.front_ends.store_port import create_store_performers
-from balsamshed.logs.events import log_event
+from balsamshed.logs.events import log_event, start_logs
 from balsamshed.members.member import Member
 from balsamshed.node.dispatch import handle_event
 from balsamshed.node.effects import (
@@ -65,6 +65,7 @@
     settings : BalancerSettings
         Checked settings.
     """
+    start_logs()
     node = _create_node(settings)
     metrics = create_metrics()
     performers: Performers = {}
--- a/balsamshed/logs/events.py
+++ b/balsamshed/logs/events.py
@@ -6,7 +6,7 @@
 from datetime import UTC, datetime
 from typing import Final
 
-from absl import logging
+from absl import flags, logging
 
 from balsamshed.logs.lines import format_line
 
@@ -138,6 +138,8 @@
 
 def start_logs() -> None:
     """Send the lines of events to standard error, without a prefix."""
+    # Without it absl begins the log with a warning that is no event.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold(logging.INFO)
--- a/balsamshed/logs/tests/test_events.py
+++ b/balsamshed/logs/tests/test_events.py
@@ -1,5 +1,8 @@
 """Guards against log lines that cannot be read back and against floods."""
 
+import subprocess
+import sys
+
 import pytest
 from absl import logging
 from hypothesis import given
@@ -97,3 +100,21 @@
     written = [count + 1 for count in outcomes if count is not None]
     pending = limiter.windows['e'].left_out if times else 0
     assert sum(written) + pending == len(times)
+
+
+def test_a_started_log_has_lines_of_events_only():
+    """A process that never starts its log loses every event, and a warning
+    of the library is no line of key=value pairs."""
+    program = (
+        'from balsamshed.logs.events import log_event, start_logs; '
+        'start_logs(); log_event("started", name="n1")'
+    )
+    completed = subprocess.run(
+        [sys.executable, '-c', program],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    (line,) = completed.stderr.splitlines()
+    fields = parse_line(line)
+    assert (fields['event'], fields['name']) == ('started', 'n1')
