Pause between lists when each watch is too old

Cause: a list from a lagging replica gives a revision that the store no longer watches from. The answer 410 led to the next list without a pause, so each reader listed and watched at nearly every tick. The longest back-off of 5 s also took all of the 5 s that a change has. Ruled out: several watches at a time; the calls alternated between list and watch. Change: the first expiry still lists at once, further ones back off until a watch succeeds. The longest back-off is 2 s. The effect of the shorter back-off on a long outage was not measured separately. Conclusion: a lagging replica costs a reader at most about one list per second.

--- a/balsamshed/node/store.py
+++ b/balsamshed/node/store.py
@@ -43,7 +43,7 @@
 
 def handle_expiry(node: Node, event: WatchExpired, now: float) -> Effects:
     """List again, since the store no longer knows what changed."""
-    note_expiry(node.session)
+    note_expiry(node.session, now, _draw_fraction(node))
     return ()
 
 
@@ -68,8 +68,7 @@
 def handle_failure(node: Node, event: StoreFailed, now: float) -> Effects:
     """Back off after a failed call; serving goes on with what is known."""
     if event.call in _SESSION_CALLS:
-        fraction = node.membership.draw(_FRACTION_STEPS) / _FRACTION_STEPS
-        note_failure(node.session, now, fraction)
+        note_failure(node.session, now, _draw_fraction(node))
     fields = {'call': event.call, 'reason': event.reason}
     return (
         LogEvent('store_call_failed', fields),
@@ -83,5 +82,9 @@
     return ()
 
 
+def _draw_fraction(node: Node) -> float:
+    return node.membership.draw(_FRACTION_STEPS) / _FRACTION_STEPS
+
+
 def _get_status_key(node: Node) -> str:
     return f'{node.group}/status/{node.data_centre}'
--- a/balsamshed/platform/session.py
+++ b/balsamshed/platform/session.py
@@ -11,7 +11,11 @@
 #: Readers list everything this often, in case an event was left out.
 FULL_LIST_SECONDS: Final = 300.0
 FIRST_BACKOFF_SECONDS: Final = 0.2
-MAX_BACKOFF_SECONDS: Final = 5.0
+#: After an outage of any length, a change has to be in force within 5 s.
+MAX_BACKOFF_SECONDS: Final = 2.0
+
+# Keeps the power of two small; the back-off has its limit long before.
+_MAX_DOUBLINGS: Final = 10
 
 
 class SessionPhase(Enum):
@@ -48,6 +52,8 @@
         Monotonic seconds of the last complete list.
     backoff_seconds : float
         Length of the last back-off, zero after a success.
+    expiries : int
+        Watches whose revision was too old since the last one that was not.
     """
 
     phase: SessionPhase = SessionPhase.IDLE
@@ -56,6 +62,7 @@
     deadline: float = 0
     listed_at: float = 0
     backoff_seconds: float = 0
+    expiries: int = 0
 
 
 def advance_session(
@@ -123,12 +130,30 @@
     session.revision = max(session.revision, revision)
     session.phase = SessionPhase.IDLE
     session.backoff_seconds = 0
+    session.expiries = 0
+
 
+def note_expiry(session: StoreSession, now: float, fraction: float) -> None:
+    """Note that the watched revision is too old, so that a list follows.
 
-def note_expiry(session: StoreSession) -> None:
-    """Note that the watched revision is too old, so that a list follows."""
+    A list from a lagging replica may show a revision that is too old as
+    well, so the lists after the first one wait.
+
+    Parameters
+    ----------
+    session : StoreSession
+        Changed in place.
+    now : float
+        Monotonic seconds.
+    fraction : float
+        Random number from 0 to 1, so that nodes do not return together.
+    """
     session.has_listed = False
     session.phase = SessionPhase.IDLE
+    session.expiries += 1
+    if session.expiries > 1:
+        doublings = min(session.expiries - 2, _MAX_DOUBLINGS)
+        _back_off(session, FIRST_BACKOFF_SECONDS * 2**doublings, now, fraction)
 
 
 def note_failure(session: StoreSession, now: float, fraction: float) -> None:
@@ -144,10 +169,17 @@
         Random number from 0 to 1, so that nodes do not return together.
     """
     doubled = session.backoff_seconds * 2
-    session.backoff_seconds = min(
-        max(doubled, FIRST_BACKOFF_SECONDS),
-        MAX_BACKOFF_SECONDS,
-    )
+    wait_seconds = max(doubled, FIRST_BACKOFF_SECONDS)
+    _back_off(session, wait_seconds, now, fraction)
+
+
+def _back_off(
+    session: StoreSession,
+    seconds: float,
+    now: float,
+    fraction: float,
+) -> None:
+    session.backoff_seconds = min(seconds, MAX_BACKOFF_SECONDS)
     session.phase = SessionPhase.BACKING_OFF
     session.deadline = now + session.backoff_seconds * (0.5 + fraction / 2)
 
