Keep an address with the object that claimed it first

Ruled out: the lower version keeps the address; a drain of the older object would raise its version and hand its host to the newcomer. Change: the object that was created first keeps the address, worked out from the change entries and so the same on every node; the other one is not applied and shows in the status. Command and node share the check. Conclusion: a property test fails without the rule for one of the orders in which records arrive.

--- a/balsamshed/audit/tests/test_trail.py
+++ b/balsamshed/audit/tests/test_trail.py
@@ -9,7 +9,7 @@
     read_trail,
     take_writes,
 )
-from balsamshed.configuration.catalog import Record
+from balsamshed.configuration.records import Record
 
 KEY = 'g/service/creneau'
 NOW = 1796371200.0
--- a/balsamshed/audit/trail.py
+++ b/balsamshed/audit/trail.py
@@ -12,7 +12,7 @@
     list_versions,
     read_changes,
 )
-from balsamshed.configuration.catalog import Record
+from balsamshed.configuration.records import Record
 
 #: A process that sees an object for the first time leaves older changes out:
 #: they were written by its predecessors. Without this limit each restart of a
--- a/balsamshed/codecs/structures.py
+++ b/balsamshed/codecs/structures.py
@@ -6,12 +6,12 @@
 from typing import Any, Final
 
 from balsamshed.codecs.generated import ttypes
-from balsamshed.configuration.catalog import Record
 from balsamshed.configuration.messages import (
     BucketDigests,
     BucketVersions,
     RecordPush,
 )
+from balsamshed.configuration.records import Record
 from balsamshed.flows.messages import FlowCopies, FlowCopiesAck, FlowCopy
 from balsamshed.members.member import Member, MemberState
 from balsamshed.members.messages import Ack, CatalogDigest, Ping, PingRequest
--- a/balsamshed/codecs/tests/test_peers.py
+++ b/balsamshed/codecs/tests/test_peers.py
@@ -16,12 +16,12 @@
     decode_envelope,
     encode_envelope,
 )
-from balsamshed.configuration.catalog import Record
 from balsamshed.configuration.messages import (
     BucketDigests,
     BucketVersions,
     RecordPush,
 )
+from balsamshed.configuration.records import Record
 from balsamshed.flows.messages import FlowCopies, FlowCopiesAck, FlowCopy
 from balsamshed.members.member import Member, MemberState
 from balsamshed.members.messages import Ack, CatalogDigest, Ping, PingRequest
--- a/balsamshed/commands/applying.py
+++ b/balsamshed/commands/applying.py
@@ -20,11 +20,12 @@
 from balsamshed.commands.worlds import (
     World,
     build_world,
-    find_clashes,
     get_spec,
     read_records,
 )
-from balsamshed.configuration.parsing import Rejection, parse_resource
+from balsamshed.configuration.clashes import find_clashes
+from balsamshed.configuration.parsing import parse_resource
+from balsamshed.configuration.records import Rejection
 from balsamshed.configuration.resources import Resource
 from balsamshed.documents import Document, DocumentRejection, read_document
 from balsamshed.findings import Finding, format_findings
--- a/balsamshed/commands/changes.py
+++ b/balsamshed/commands/changes.py
@@ -16,8 +16,8 @@
 from balsamshed.commands.sessions import Session
 from balsamshed.commands.statuses import ExitStatus
 from balsamshed.commands.worlds import World, get_spec, list_unserved
-from balsamshed.configuration.catalog import Record
-from balsamshed.configuration.parsing import Rejection, parse_resource
+from balsamshed.configuration.parsing import parse_resource
+from balsamshed.configuration.records import Record, Rejection
 from balsamshed.configuration.resources import Resource
 from balsamshed.findings import format_findings
 from balsamshed.platform.requests import (
--- a/balsamshed/commands/fleet.py
+++ b/balsamshed/commands/fleet.py
@@ -7,8 +7,8 @@
 
 from balsamshed.audit.entries import list_versions
 from balsamshed.commands.rendering import format_time
-from balsamshed.configuration.catalog import Record
 from balsamshed.configuration.parsing import parse_wall_time
+from balsamshed.configuration.records import Record
 from balsamshed.schemas import find_faults, is_wall_time
 
 _NUMBER: Final = {'type': 'number', 'description': 'a number'}
--- a/balsamshed/commands/objects.py
+++ b/balsamshed/commands/objects.py
@@ -26,7 +26,7 @@
     get_spec,
     read_records,
 )
-from balsamshed.configuration.catalog import Record
+from balsamshed.configuration.records import Record
 from balsamshed.platform.requests import ReadResponse
 from balsamshed.platform.responses import (
     FailureReason,
--- a/balsamshed/commands/tests/test_reference.py
+++ b/balsamshed/commands/tests/test_reference.py
@@ -10,7 +10,8 @@
 from balsamshed.commands.catalogue import COMMANDS
 from balsamshed.commands.connections import GROUP_VARIABLE, STORE_URL_VARIABLE
 from balsamshed.commands.statuses import ExitStatus
-from balsamshed.configuration.parsing import Rejection, parse_resource
+from balsamshed.configuration.parsing import parse_resource
+from balsamshed.configuration.records import Rejection
 from balsamshed.configuration.schemas import (
     BACKEND_SERVER_SCHEMA,
     SERVICE_SCHEMA,
--- a/balsamshed/commands/worlds.py
+++ b/balsamshed/commands/worlds.py
@@ -1,13 +1,12 @@
 """Objects of a group as the store shows them, and checks across objects."""
 
 import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from ipaddress import IPv4Address
 from typing import Any, Final
 
-from balsamshed.configuration.catalog import Record
-from balsamshed.configuration.parsing import Rejection, parse_resource
+from balsamshed.configuration.parsing import parse_resource
+from balsamshed.configuration.records import Record, Rejection
 from balsamshed.configuration.resources import (
     BackendServer,
     QuietPeriod,
@@ -15,7 +14,6 @@
     Service,
 )
 from balsamshed.configuration.schedules import takes_new_work
-from balsamshed.findings import Finding
 from balsamshed.platform.responses import Listing, StoreFailure
 
 #: Kinds that declare desired state, in the order in which they are listed.
@@ -59,31 +57,6 @@
     return spec if isinstance(spec, Mapping) else None
 
 
-def find_clashes(resources: Mapping[str, Resource], key: str) -> list[Finding]:
-    """Find what an object must not share with the other objects.
-
-    Two backend servers with one host, or two services with one address and
-    port, would let packets of one service reach the other.
-
-    Parameters
-    ----------
-    resources : mapping of str to Resource
-        All resources of the group as they would be.
-    key : str
-        The object to check.
-
-    Returns
-    -------
-    list of Finding
-        Places are relative to the object's specification.
-    """
-    own = resources[key]
-    others = [part for name, part in resources.items() if name != key]
-    if isinstance(own, BackendServer):
-        return list(_find_host_clashes(own, others))
-    return list(_find_port_clashes(own, others))
-
-
 def list_unserved(
     resources: Iterable[Resource],
     now: float,
@@ -151,37 +124,6 @@
     return Listing(min(revisions), tuple(records))
 
 
-def _find_host_clashes(
-    own: BackendServer,
-    others: Iterable[Resource],
-) -> Iterator[Finding]:
-    for other in others:
-        if isinstance(other, BackendServer) and other.host == own.host:
-            yield Finding(
-                '$.host',
-                f'"{IPv4Address(own.host)}"',
-                f'a host that backend_server/{other.name} does not have',
-            )
-
-
-def _find_port_clashes(
-    own: Service,
-    others: Iterable[Resource],
-) -> Iterator[Finding]:
-    for other in others:
-        if not isinstance(other, Service) or other.address != own.address:
-            continue
-        used = {listener.port for listener in other.listeners}
-        for position, listener in enumerate(own.listeners):
-            if listener.port in used:
-                yield Finding(
-                    f'$.listeners[{position}].port',
-                    str(listener.port),
-                    f'a port that service/{other.name} does not have at '
-                    f'{IPv4Address(own.address)}',
-                )
-
-
 def _list_moments(servers: Iterable[BackendServer], now: float) -> list[float]:
     starts = [
         _get_next_start(period, now)
--- a/balsamshed/configuration/catalog.py
+++ b/balsamshed/configuration/catalog.py
@@ -1,12 +1,13 @@
 """Catalog: a node's copy of its group's records."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Any
 
 from xxhash import xxh3_64_intdigest
 
-from balsamshed.configuration.parsing import Rejection, parse_resource
+from balsamshed.configuration.clashes import select_losers
+from balsamshed.configuration.parsing import parse_resource
+from balsamshed.configuration.records import Record, Rejection
 from balsamshed.configuration.resources import Resource
 from balsamshed.configuration.routing import RoutingTable, build_routing_table
 
@@ -14,25 +15,6 @@
 CONFIGURATION_KINDS = frozenset(('service', 'backend_server'))
 
 
-@dataclass(frozen=True, slots=True)
-class Record:
-    """One version of an object of the store.
-
-    Parameters
-    ----------
-    key : str
-        ``<group>/<kind>/<name>``.
-    version : int
-        Number that the store gave to the write; rises over all objects.
-    body : mapping
-        JSON document with ``spec``, ``changes`` and ``deleted``.
-    """
-
-    key: str
-    version: int
-    body: Mapping[str, Any]
-
-
 @dataclass(slots=True)
 class Catalog:
     """Records of one group, the newest known version of each.
@@ -48,6 +30,8 @@
         way back from a deleted backend server.
     rejections : dict of str to Rejection
         Findings of the newest version, for objects that have some.
+    losers : dict of str to Rejection
+        Objects that give way to an older one with the same address.
     digest : int
         Exclusive or of the hashes of all keys and versions.
     highest_version : int
@@ -58,6 +42,7 @@
     resources: dict[str, Resource] = field(default_factory=dict)
     retired: dict[str, Resource] = field(default_factory=dict)
     rejections: dict[str, Rejection] = field(default_factory=dict)
+    losers: dict[str, Rejection] = field(default_factory=dict)
     digest: int = 0
     highest_version: int = 0
 
@@ -116,13 +101,20 @@
             continue
         _replace_record(catalog, known, record)
         taken.append(record)
+    if taken:
+        catalog.losers = select_losers(catalog.records, catalog.resources)
     return tuple(taken)
 
 
 def derive_routing_table(catalog: Catalog) -> RoutingTable:
     """Build the routing table of the applied resources."""
+    accepted = (
+        resource
+        for key, resource in catalog.resources.items()
+        if key not in catalog.losers
+    )
     return build_routing_table(
-        catalog.resources.values(),
+        accepted,
         catalog.retired.values(),
     )
 
--- a/balsamshed/configuration/gossip.py
+++ b/balsamshed/configuration/gossip.py
@@ -5,12 +5,13 @@
 
 from xxhash import xxh3_64_intdigest
 
-from balsamshed.configuration.catalog import Catalog, Record, hash_version
+from balsamshed.configuration.catalog import Catalog, hash_version
 from balsamshed.configuration.messages import (
     BucketDigests,
     BucketVersions,
     RecordPush,
 )
+from balsamshed.configuration.records import Record
 
 #: Buckets into which the keys of a catalog are hashed.
 BUCKET_COUNT: Final = 16
--- a/balsamshed/configuration/messages.py
+++ b/balsamshed/configuration/messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from balsamshed.configuration.catalog import Record
+from balsamshed.configuration.records import Record
 
 
 @dataclass(frozen=True, slots=True)
--- a/balsamshed/configuration/parsing.py
+++ b/balsamshed/configuration/parsing.py
@@ -1,12 +1,12 @@
 """Checks of declared resources."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from datetime import datetime
 from ipaddress import IPv4Address
 from types import MappingProxyType
 from typing import Any, Final
 
+from balsamshed.configuration.records import Rejection
 from balsamshed.configuration.resources import (
     BackendServer,
     Listener,
@@ -26,22 +26,6 @@
 _DEFAULT_DEADLINE_SECONDS: Final = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class Rejection:
-    """Sentinel for a resource that was not accepted.
-
-    Parameters
-    ----------
-    key : str
-        Key of the object.
-    findings : tuple of Finding
-        Every fault of the object, at least one.
-    """
-
-    key: str
-    findings: tuple[Finding, ...]
-
-
 def parse_resource(key: str, spec: object) -> Resource | Rejection:
     """Check the specification of an object.
 
--- a/balsamshed/configuration/tests/test_catalog.py
+++ b/balsamshed/configuration/tests/test_catalog.py
@@ -3,7 +3,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from balsamshed.configuration.catalog import Catalog, Record, merge_records
+from balsamshed.configuration.catalog import (
+    Catalog,
+    derive_routing_table,
+    merge_records,
+)
+from balsamshed.configuration.records import Record
 
 BACKEND_KEY = 'g/backend_server/b1'
 
@@ -62,3 +67,38 @@
     merge_records(catalog, (make_record(1, service='creneau\n', slots=2.0),))
     places = [f.place for f in catalog.rejections[BACKEND_KEY].findings]
     assert places == ['$.service', '$.slots']
+
+
+def make_service(name, version, address):
+    listener = {
+        'name': 'requests',
+        'port': 7002,
+        'kind': 'request',
+        'work_class': 'urgent',
+    }
+    spec = {
+        'customer': 'buanderie',
+        'address': address,
+        'listeners': [listener],
+    }
+    return Record(f'g/service/{name}', version, {'spec': spec})
+
+
+@given(st.permutations(range(4)))
+def test_a_host_never_moves_to_a_newcomer(order):
+    """Packets for creneau would reach a backend server of registre."""
+    newcomer = make_record(9, service='registre')
+    records = [
+        make_service('creneau', 1, '192.0.2.10'),
+        make_service('registre', 2, '192.0.2.11'),
+        make_record(3),
+        Record('g/backend_server/a0', 9, newcomer.body),
+    ]
+    catalog = Catalog()
+    for position in order:
+        merge_records(catalog, (records[position],))
+    routing = derive_routing_table(catalog)
+    host = routing.endpoints[0x0A080001, 7002]
+    assert host.service.name == 'creneau'
+    assert list(catalog.losers) == ['g/backend_server/a0']
+    assert catalog.losers['g/backend_server/a0'].findings[0].place == '$.host'
--- a/balsamshed/node/events.py
+++ b/balsamshed/node/events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from balsamshed.configuration.catalog import Record
+from balsamshed.configuration.records import Record
 from balsamshed.flows.packets import Packet, Relay
 from balsamshed.members.member import Member
 from balsamshed.node.messages import Envelope
--- a/balsamshed/node/records.py
+++ b/balsamshed/node/records.py
@@ -5,7 +5,6 @@
 
 from balsamshed.audit.trail import queue_changes
 from balsamshed.configuration.catalog import (
-    Record,
     derive_routing_table,
     merge_records,
 )
@@ -20,6 +19,7 @@
     BucketVersions,
     RecordPush,
 )
+from balsamshed.configuration.records import Record
 from balsamshed.flows.derivation import CandidateList, note_candidates
 from balsamshed.members.member import Member
 from balsamshed.members.membership import (
@@ -201,7 +201,9 @@
 
 def _describe_record(node: Node, record: Record) -> LogEvent:
     fields: dict[str, Any] = {'key': record.key, 'version': record.version}
-    rejection = node.catalog.rejections.get(record.key)
+    catalog = node.catalog
+    rejection = catalog.rejections.get(record.key)
+    rejection = rejection or catalog.losers.get(record.key)
     if rejection is None:
         return LogEvent('record_in_force', fields)
     fields['findings'] = len(rejection.findings)
--- a/balsamshed/platform/requests.py
+++ b/balsamshed/platform/requests.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 from balsamshed.audit.entries import VersionedChange, list_versions
-from balsamshed.configuration.catalog import Record
+from balsamshed.configuration.records import Record
 from balsamshed.platform.responses import (
     FailureReason,
     ObjectMissing,
--- a/balsamshed/platform/responses.py
+++ b/balsamshed/platform/responses.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import Any
 
-from balsamshed.configuration.catalog import Record
+from balsamshed.configuration.records import Record
 
 
 class FailureReason(StrEnum):
--- a/balsamshed/platform/tests/test_requests.py
+++ b/balsamshed/platform/tests/test_requests.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from balsamshed.audit.entries import ChangeEntry, append_change, read_changes
-from balsamshed.configuration.catalog import Record
+from balsamshed.configuration.records import Record
 from balsamshed.platform.requests import (
     PutObject,
     ReadObject,
--- a/balsamshed/status/rules.py
+++ b/balsamshed/status/rules.py
@@ -65,7 +65,9 @@
                 for finding in rejection.findings
             ],
         }
-        for key, rejection in sorted(catalog.rejections.items())
+        for key, rejection in sorted(
+            {**catalog.losers, **catalog.rejections}.items()
+        )
     )
 
 
