Write the status again after a stand-in wrote it

Cause: the first reader of a data centre compared its summary only with its own last one. After a pause its summary was the same as before, so the object that the stand-in had written without it stayed until the refresh after 60 s. Ruled out: the stand-in writes again when the first reader is back; it is no longer first by then. Change: readers see the status object in their lists and watches. A newer version by another member makes the first reader write its own again.

--- a/balsamshed/node/store.py
+++ b/balsamshed/node/store.py
@@ -1,7 +1,9 @@
 """Answers of the platform's object store."""
 
+from collections.abc import Iterable
 from typing import Final
 
+from balsamshed.configuration.catalog import Record
 from balsamshed.members.membership import add_hints
 from balsamshed.node.effects import CountEvent, Effect, LogEvent
 from balsamshed.node.events import (
@@ -21,7 +23,7 @@
     note_list,
     note_watch,
 )
-from balsamshed.status.fleet import note_conflict, note_written
+from balsamshed.status.fleet import note_conflict, note_seen, note_written
 
 _FRACTION_STEPS: Final = 1000
 _SESSION_CALLS: Final = frozenset(('list', 'watch'))
@@ -32,12 +34,14 @@
 def handle_list(node: Node, event: RecordsListed, now: float) -> Effects:
     """Take over a complete list."""
     note_list(node.session, event.revision, now)
+    _follow_status(node, event.records)
     return learn_records(node, event.records, now)
 
 
 def handle_changes(node: Node, event: RecordsChanged, now: float) -> Effects:
     """Take over the news of a watch."""
     note_watch(node.session, event.revision)
+    _follow_status(node, event.records)
     return learn_records(node, event.records, now)
 
 
@@ -82,6 +86,15 @@
     return ()
 
 
+def _follow_status(node: Node, records: Iterable[Record]) -> None:
+    key = _get_status_key(node)
+    for record in records:
+        if record.key == key:
+            spec = record.body.get('spec')
+            writer = spec.get('summarizer') if isinstance(spec, dict) else ''
+            note_seen(node.fleet, record.version, is_own=writer == node.name)
+
+
 def _draw_fraction(node: Node) -> float:
     return node.membership.draw(_FRACTION_STEPS) / _FRACTION_STEPS
 
--- a/balsamshed/status/fleet.py
+++ b/balsamshed/status/fleet.py
@@ -140,6 +140,30 @@
     status.version = version
 
 
+def note_seen(
+    status: FleetStatus,
+    version: int,
+    *,
+    is_own: bool,
+) -> None:
+    """Note a version of the status object that the store shows.
+
+    Parameters
+    ----------
+    status : FleetStatus
+        Changed in place.
+    version : int
+        Version of the object.
+    is_own : bool
+        Whether this member wrote it. What a stand-in wrote may differ from
+        the last own summary, which is therefore written again.
+    """
+    if is_own or version <= status.version:
+        return
+    status.version = version
+    status.written = None
+
+
 def build_body(
     summary: Summary,
     data_centre: str,
