Reject objects that no peer message can carry

Cause: a body may have 1 MB, a datagram holds 60,000 bytes. A reader that took over a larger object raised ValueError while it sent the push, which also dropped the rest of the event's effects, and again with each comparison of catalogs. Members that do not read the store never learned of the object or that it is faulty. Ruled out: a slow gossip round; the count of rejected objects on the member that does not read stayed 0 for 5 s. Change: the catalog rejects a body over 20,000 bytes with a finding and keeps its size in place of its text, so that all members agree. Load addresses have a limit, so that an accepted object stays below it. A message that is still too large is counted and dropped alone. Conclusion: what the command line accepts fits a peer message; the largest allowed backend server is a test case.

--- a/balsamshed/codecs/tests/test_peers.py
+++ b/balsamshed/codecs/tests/test_peers.py
@@ -16,7 +16,13 @@
     decode_envelope,
     encode_envelope,
 )
-from balsamshed.configuration.catalog import Record
+from balsamshed.configuration.catalog import (
+    MAX_BODY_BYTES,
+    Catalog,
+    Record,
+    merge_records,
+)
+from balsamshed.configuration.gossip import split_push
 from balsamshed.configuration.messages import (
     BucketDigests,
     BucketVersions,
@@ -250,3 +256,17 @@
     assert decoded.message.reports == (
         LoadReport(1, largest, 0, largest / 1000),
     )
+
+
+def test_push_of_the_largest_bodies_fits_a_datagram():
+    """A push that does not fit would never arrive, and its records would
+    not come into force on members that do not read the store."""
+    catalog = Catalog()
+    text = 'x' * (MAX_BODY_BYTES - 60)
+    records = [
+        Record(f'g/backend_server/b{number}', number, {'spec': text})
+        for number in range(1, 5)
+    ]
+    for push in split_push(merge_records(catalog, records)):
+        datagram = encode_envelope(Envelope('n1', 0, push), bytes(16))
+        assert len(datagram) < DATAGRAM_LIMIT
--- a/balsamshed/configuration/catalog.py
+++ b/balsamshed/configuration/catalog.py
@@ -1,5 +1,6 @@
 """Catalog: a node's copy of its group's records."""
 
+import json
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -9,10 +10,16 @@
 from balsamshed.configuration.parsing import Rejection, parse_resource
 from balsamshed.configuration.resources import Resource
 from balsamshed.configuration.routing import RoutingTable, build_routing_table
+from balsamshed.findings import Finding
 
+#: Largest body as JSON text. Two records have to fit a datagram of 60,000
+#: bytes; a backend server with 64 quiet periods and 16 changes takes 11,000.
+MAX_BODY_BYTES = 20_000
 #: Kinds of objects that declare desired state.
 CONFIGURATION_KINDS = frozenset(('service', 'backend_server'))
 
+_OVERSIZED = 'oversized_bytes'
+
 
 @dataclass(frozen=True, slots=True)
 class Record:
@@ -114,8 +121,9 @@
             continue
         if get_kind(record.key) not in CONFIGURATION_KINDS:
             continue
-        _replace_record(catalog, known, record)
-        taken.append(record)
+        kept = _limit_body(record)
+        _replace_record(catalog, known, kept)
+        taken.append(kept)
     return tuple(taken)
 
 
@@ -127,6 +135,28 @@
     )
 
 
+def _limit_body(record: Record) -> Record:
+    """Replace a body that no peer message can carry by its size.
+
+    Every member then rejects the object with the same finding, whether it
+    learned of it from the store or from a peer.
+    """
+    size = len(json.dumps(record.body, separators=(',', ':')))
+    if size <= MAX_BODY_BYTES:
+        return record
+    deleted = bool(record.body.get('deleted'))
+    body = {_OVERSIZED: size, 'deleted': deleted}
+    return Record(record.key, record.version, body)
+
+
+def _parse_record(record: Record) -> Resource | Rejection:
+    if _OVERSIZED in record.body:
+        found = f'{record.body[_OVERSIZED]} bytes'
+        finding = Finding('$', found, f'at most {MAX_BODY_BYTES} bytes of JSON')
+        return Rejection(record.key, (finding,))
+    return parse_resource(record.key, record.body.get('spec'))
+
+
 def _replace_record(
     catalog: Catalog,
     known: Record | None,
@@ -138,7 +168,7 @@
     catalog.highest_version = max(catalog.highest_version, record.version)
     catalog.records[record.key] = record
     catalog.rejections.pop(record.key, None)
-    outcome = parse_resource(record.key, record.body.get('spec'))
+    outcome = _parse_record(record)
     if record.body.get('deleted'):
         last = catalog.resources.pop(record.key, outcome)
         if not isinstance(last, Rejection):
--- a/balsamshed/configuration/schemas.py
+++ b/balsamshed/configuration/schemas.py
@@ -8,6 +8,8 @@
 MAX_QUIET_PERIODS: Final = 64
 #: One year. An integer of any size would overflow the period arithmetic.
 MAX_PERIOD_SECONDS: Final = 31_536_000
+#: An address of any length would exceed the size of a peer message.
+MAX_URL_LENGTH: Final = 1000
 #: At most this many listeners for one service.
 MAX_LISTENERS: Final = 16
 
@@ -128,7 +130,11 @@
         'load_url': {
             'type': 'string',
             'pattern': '^http://',
-            'description': 'an address that starts with http://',
+            'maxLength': MAX_URL_LENGTH,
+            'description': (
+                'an address that starts with http://, of up to '
+                f'{MAX_URL_LENGTH} characters'
+            ),
         },
         'draining': {
             'type': 'boolean',
--- a/balsamshed/configuration/tests/test_catalog.py
+++ b/balsamshed/configuration/tests/test_catalog.py
@@ -4,6 +4,12 @@
 from hypothesis import strategies as st
 
 from balsamshed.configuration.catalog import Catalog, Record, merge_records
+from balsamshed.configuration.gossip import split_push
+from balsamshed.configuration.schemas import (
+    MAX_PERIOD_SECONDS,
+    MAX_QUIET_PERIODS,
+    MAX_URL_LENGTH,
+)
 
 BACKEND_KEY = 'g/backend_server/b1'
 
@@ -62,3 +68,51 @@
     merge_records(catalog, (make_record(1, service='creneau\n', slots=2.0),))
     places = [f.place for f in catalog.rejections[BACKEND_KEY].findings]
     assert places == ['$.service', '$.slots']
+
+
+def test_body_larger_than_a_datagram_is_rejected_alike_everywhere():
+    """An object that no peer message can carry must not keep members from
+    learning of it, or the rest of the news with it."""
+    first, second = Catalog(), Catalog()
+    merge_records(first, (make_record(1),))
+    merge_records(second, (make_record(1),))
+    large = make_record(2, note='x' * 900_000)
+    taken = merge_records(first, (large,))
+    for push in split_push((*taken, *taken)):
+        merge_records(second, push.records)
+    assert first.digest == second.digest
+    assert first.rejections == second.rejections
+    (finding,) = first.rejections[BACKEND_KEY].findings
+    assert 'bytes' in finding.found
+    assert first.resources[BACKEND_KEY].slots == 2
+    assert merge_records(first, (large,)) == ()
+    merge_records(first, (make_record(3, slots=5),))
+    assert not first.rejections
+    assert first.resources[BACKEND_KEY].slots == 5
+
+
+def test_largest_allowed_object_is_applied():
+    """G8: what the command line accepts must never exceed the limit of
+    peer messages."""
+    period = {
+        'start': '2026-12-04T20:00:00.123456+01:00',
+        'duration_seconds': MAX_PERIOD_SECONDS - 0.123456,
+        'repeat_seconds': MAX_PERIOD_SECONDS - 0.123456,
+    }
+    record = make_record(
+        1,
+        load_url='http://' + 'x' * (MAX_URL_LENGTH - 7),
+        quiet_periods=[period] * MAX_QUIET_PERIODS,
+        draining=True,
+    )
+    change = {
+        'change_id': 'f' * 32,
+        'who': 'u' * 32 + '@' + 'h' * 64,
+        'when': '2026-12-04T20:00:00.123456Z',
+        'from_version': 10**12,
+        'action': 'remove-quiet-period',
+    }
+    body = {**record.body, 'changes': [change] * 16, 'deleted': False}
+    catalog = Catalog()
+    merge_records(catalog, (Record(BACKEND_KEY, 1, body),))
+    assert BACKEND_KEY in catalog.resources
--- a/balsamshed/front_ends/peer_port.py
+++ b/balsamshed/front_ends/peer_port.py
@@ -57,7 +57,12 @@
 
     def send_envelope(self, envelope: Envelope, address: Address) -> None:
         """Encode a message and send it."""
-        datagram = encode_envelope(envelope, self._key)
+        try:
+            datagram = encode_envelope(envelope, self._key)
+        except ValueError:
+            # One message that is too large must not stop the others.
+            self._count('peer_message_too_large')
+            return
         self.sent_bytes += len(datagram) + HEADER_BYTES
         try:
             self.transport.write(datagram, address)
