Test openings, refusals and derivation on a single node

Change: tests of repeated, refused and late packets, drains, deletions, a host reused by another service, derivation and releases; a refusal that comes after the handshake no longer drops the flow's entry; former owners forget entries after a minute; peers' data ports are looked up in a set. Ruled out: dropping such a refusal, which would leave a caller that still waits without an answer.

--- a/balsamshed/front_ends/process.py
+++ b/balsamshed/front_ends/process.py
@@ -17,6 +17,7 @@
     RECEIVE_BUFFER_BYTES,
     Address,
     DataPort,
+    IsPeer,
     create_packet_performers,
 )
 from balsamshed.front_ends.http_client import create_http
@@ -37,6 +38,7 @@
 from balsamshed.front_ends.store_port import create_store_performers
 from balsamshed.logs.events import EventWriter, create_event_log, start_logs
 from balsamshed.members.member import Member
+from balsamshed.members.membership import Membership
 from balsamshed.node.dispatch import handle_event
 from balsamshed.node.effects import (
     CountEvent,
@@ -137,11 +139,7 @@
         member = node.membership.peers.get(name)
         return None if member is None else (member.host, member.data_port)
 
-    def is_peer(address: Address) -> bool:
-        return any(
-            (member.host, member.data_port) == address
-            for member in node.membership.peers.values()
-        )
+    is_peer = _create_peer_check(node.membership)
 
     data_port = DataPort(fabric, is_peer, sink, count)
     peer_port = PeerPort(settings.peer_key, sink, count)
@@ -177,6 +175,26 @@
             port.stopListening()
 
 
+def _create_peer_check(membership: Membership) -> IsPeer:
+    # Rebuilt on membership changes only: a look-up for each relayed packet
+    # must not grow with the group.
+    addresses: set[Address] = set()
+    seen_version = -1
+
+    def is_peer(address: Address) -> bool:
+        nonlocal seen_version
+        if membership.view_version != seen_version:
+            seen_version = membership.view_version
+            addresses.clear()
+            addresses.update(
+                (member.host, member.data_port)
+                for member in membership.peers.values()
+            )
+        return address in addresses
+
+    return is_peer
+
+
 def _enlarge_buffer(port: IListeningPort) -> None:
     port.socket.setsockopt(
         socket.SOL_SOCKET,
--- a/balsamshed/node/openings.py
+++ b/balsamshed/node/openings.py
@@ -171,16 +171,21 @@
         packet.destination_port,
         packet.source_port,
     )
-    opening = node.flows.openings.get(flow_key)
-    if opening is None or opening.tried[-1] != packet.source:
-        # A late answer to a SYN that was moved or is answered already.
+    placement = node.flows.placements.get(flow_key)
+    if placement is None or placement.host != packet.source:
+        # A late answer to a SYN that was moved.
         return (Drop('refusal_out_of_date'),)
+    returned = ReturnPacket(packet, route.service.address)
+    opening = node.flows.openings.get(flow_key)
+    if opening is None:
+        # The handshake may be complete: an open connection ignores this RST,
+        # so its entry stays. A caller that still waits takes it as a refusal.
+        return (returned,)
     record_refused(node.board, packet.source, now)
     retried = _retry_opening(node, opening, route, now)
     if retried:
         return retried
     forget_flow(node, flow_key, Outcome.SHED, now)
-    returned = ReturnPacket(packet, route.service.address)
     return (returned, CountEvent('refused_by_backend_server'))
 
 
--- /dev/null
+++ b/balsamshed/node/tests/test_traffic.py
@@ -0,0 +1,164 @@
+"""Guards against flows that break, move or run twice."""
+
+from balsamshed.flows.packets import TcpFlag
+from balsamshed.node.dispatch import handle_event
+from balsamshed.node.effects import (
+    CountEvent,
+    Drop,
+    ForwardPacket,
+    RefuseFlow,
+    ReturnPacket,
+)
+from balsamshed.node.events import RecordsChanged
+from balsamshed.node.tests.builders import (
+    ADDRESS,
+    FEED_PORT,
+    FIRST_HOST,
+    make_node,
+    make_packet,
+    make_refusal,
+    make_server,
+    make_service,
+    receive,
+    tick,
+)
+
+SYN = int(TcpFlag.SYN)
+ACK = int(TcpFlag.ACK)
+
+
+def open_flow(node, now=1.0, **changes):
+    (forwarded,) = receive(node, make_packet(SYN, **changes), now)
+    assert isinstance(forwarded, ForwardPacket)
+    return forwarded.host
+
+
+def test_a_repeated_syn_goes_to_the_same_backend_server():
+    """Two backend servers for one flow could run a request twice."""
+    node = make_node()
+    host = open_flow(node)
+    for now in (1.1, 1.5):
+        assert open_flow(node, now) == host
+
+
+def test_a_refused_syn_goes_to_other_backend_servers_and_then_back():
+    """A request must not fail while another backend server is free."""
+    node = make_node()
+    tried = [open_flow(node)]
+    for _retry in range(2):
+        effects = receive(node, make_refusal(tried[-1]), 1.2)
+        assert CountEvent('opening_retried') in effects
+        tried.append(effects[0].host)
+    assert len(set(tried)) == 3
+    last = make_refusal(tried[-1])
+    effects = receive(node, last, 1.3)
+    assert effects[0] == ReturnPacket(last, ADDRESS)
+    assert not node.flows.placements
+    assert not node.flows.opened_at
+
+
+def test_a_late_refusal_does_not_move_a_flow_again():
+    """The second copy of an RST would move the SYN off its new server."""
+    node = make_node()
+    first = open_flow(node)
+    receive(node, make_refusal(first), 1.2)
+    effects = receive(node, make_refusal(first), 1.3)
+    assert effects == (Drop('refusal_out_of_date'),)
+
+
+def test_a_refusal_after_the_handshake_keeps_the_flow():
+    """A delayed RST of a repeated SYN must not break an open connection."""
+    node = make_node()
+    host = open_flow(node)
+    receive(node, make_packet(ACK), 1.1)
+    refusal = make_refusal(host)
+    assert receive(node, refusal, 1.2) == (ReturnPacket(refusal, ADDRESS),)
+    (forwarded,) = receive(node, make_packet(ACK), 1.3)
+    assert forwarded.host == host
+
+
+def test_a_feed_survives_drain_and_deletion_of_its_backend_server():
+    """G1: open feeds survive every planned change."""
+    node = make_node()
+    host = open_flow(node, port=FEED_PORT)
+    number = host - FIRST_HOST + 1
+    drained = make_server(number, 20, draining=True)
+    handle_event(node, RecordsChanged(20, (drained,)), 2.0)
+    (forwarded,) = receive(node, make_packet(ACK, port=FEED_PORT), 2.1)
+    assert forwarded.host == host
+    deleted = make_server(number, 21, draining=True)
+    deleted.body['deleted'] = True
+    handle_event(node, RecordsChanged(21, (deleted,)), 3.0)
+    (forwarded,) = receive(node, make_packet(ACK, port=FEED_PORT), 3.1)
+    assert forwarded.host == host
+    answer = make_refusal(host, port=FEED_PORT)
+    assert receive(node, answer, 3.2) == (ReturnPacket(answer, ADDRESS),)
+
+
+def test_a_host_that_serves_another_service_gets_no_packet_of_the_old_one():
+    """G2: a packet for one service never reaches another."""
+    node = make_node(servers=1)
+    host = open_flow(node, port=FEED_PORT)
+    deleted = make_server(1, 20)
+    deleted.body['deleted'] = True
+    reused = make_server(2, 21, service='registre', host='10.8.1.1')
+    handle_event(node, RecordsChanged(21, (deleted, reused)), 2.0)
+    registre = make_service(22, 'registre', '192.0.2.11')
+    handle_event(node, RecordsChanged(22, (registre,)), 2.1)
+    assert node.routing.endpoints[host, FEED_PORT].service.name == 'registre'
+    effects = receive(node, make_packet(ACK, port=FEED_PORT), 2.2)
+    assert isinstance(effects[0], RefuseFlow)
+
+
+def test_draining_backend_servers_get_no_new_flows():
+    """G6: work for a server that leaves would be cut with it."""
+    node = make_node()
+    drained = make_server(1, 20, draining=True)
+    handle_event(node, RecordsChanged(20, (drained,)), 2.0)
+    hosts = {
+        open_flow(node, 2.1, caller_port=port) for port in range(2000, 2008)
+    }
+    assert FIRST_HOST not in hosts
+
+
+def test_a_flow_without_entry_is_derived_only_when_that_is_certain():
+    """A guess could send a request's second half to another server."""
+    node = make_node()
+    young = receive(node, make_packet(ACK), 30.0)
+    assert isinstance(young[0], RefuseFlow)
+    tick(node, 100.0)
+    default = open_flow(node, 100.0, caller_port=41000)
+    node.flows.placements.clear()
+    known = receive(node, make_packet(ACK, caller_port=41000), 101.0)
+    assert known[0].host == default
+    node.flows.placements.clear()
+    number = default - FIRST_HOST + 1
+    drained = make_server(number, 20, draining=True)
+    handle_event(node, RecordsChanged(20, (drained,)), 102.0)
+    changed = receive(node, make_packet(ACK, caller_port=41000), 103.0)
+    assert isinstance(changed[0], RefuseFlow)
+
+
+def test_new_flows_are_refused_when_no_backend_server_takes_them():
+    """A drain of the last server must not be ignored silently."""
+    node = make_node(servers=1)
+    drained = make_server(1, 20, draining=True)
+    handle_event(node, RecordsChanged(20, (drained,)), 2.0)
+    effects = receive(node, make_packet(SYN), 2.1)
+    assert isinstance(effects[0], RefuseFlow)
+    assert node.limiters['creneau/requests'].open_count == 0
+
+
+def test_ended_flows_release_their_place_once():
+    """A leak would lower the limit until everything is refused."""
+    node = make_node()
+    for port in range(2000, 2020):
+        open_flow(node, 1.0, caller_port=port)
+        receive(node, make_packet(ACK, caller_port=port), 1.1)
+        fin = make_packet(int(TcpFlag.FIN | TcpFlag.ACK), caller_port=port)
+        receive(node, fin, 1.2)
+        receive(node, fin, 1.3)
+        tick(node, 1.3)
+    assert node.limiters['creneau/requests'].open_count == 0
+    tick(node, 20.0)
+    assert not node.flows.placements
--- a/balsamshed/node/upkeep.py
+++ b/balsamshed/node/upkeep.py
@@ -15,6 +15,7 @@
 )
 from balsamshed.limits.limiter import Outcome
 from balsamshed.limits.overload import record_loop_delay
+from balsamshed.members.history import KEPT_SECONDS
 from balsamshed.members.membership import (
     Pause,
     list_reachable_peers,
@@ -164,13 +165,22 @@
     for flow_key in _take_idle_scan(node):
         if flow_key not in node.flows.placements:
             continue
-        slot = get_hash_slot(flow_key)
-        # The backup sees no packets; its copies go by notice of the owner.
-        is_backup = node.ownership.backups[slot] == node.name
-        if not is_backup and is_idle(node.flows, flow_key, now):
+        if _may_forget(node, flow_key, now):
             forget_flow(node, flow_key, Outcome.UNKNOWN, now)
 
 
+def _may_forget(node: Node, flow_key: bytes, now: float) -> bool:
+    slot = get_hash_slot(flow_key)
+    if node.ownership.owners[slot] == node.name:
+        return is_idle(node.flows, flow_key, now)
+    if node.ownership.backups[slot] == node.name:
+        # The backup sees no packets; its copies go by notice of the owner.
+        return False
+    # A former owner is asked for its entries for a minute. Kept longer, an
+    # entry could meet a later flow with the same key.
+    return now - node.flows.last_seen[flow_key] > KEPT_SECONDS
+
+
 def _take_idle_scan(node: Node) -> list[bytes]:
     keys = []
     for flow_key in node.idle_scan:
