Let feeds wait for a member behind a partition

Cause: a balancer that could reach neither owner nor backup of a feed answered its packets with a reset, which ends the feed although answers still passed and the entry was only out of reach. Ruled out: a default for feeds; their entries cannot be derived. Change: packets of such a feed are dropped, and retransmitted by the caller, while an owner or backup of the last 30 s is out of reach. A member that gives an entry to its new owner counts it as copied, so that it can leave earlier. Conclusion: a test covers the wait and its end; a partition between real processes is not measured yet.

--- a/balsamshed/members/history.py
+++ b/balsamshed/members/history.py
@@ -140,6 +140,44 @@
     )
 
 
+def lost_holder(
+    history: OwnershipHistory,
+    slot: int,
+    reachable: Collection[str],
+    now: float,
+    seconds: float,
+) -> bool:
+    """Tell whether a member that may hold entries is out of reach.
+
+    Parameters
+    ----------
+    history : OwnershipHistory
+        Assignments of one node.
+    slot : int
+        Hash slot.
+    reachable : collection of str
+        Names of the members that may be asked.
+    now : float
+        Monotonic seconds.
+    seconds : float
+        How far to look back.
+
+    Returns
+    -------
+    bool
+        True if an owner or backup of that time cannot be asked.
+    """
+    return any(
+        holder not in reachable
+        for entry in _list_recent(history, now, seconds)
+        for holder in (
+            entry.ownership.owners[slot],
+            entry.ownership.backups[slot],
+        )
+        if holder
+    )
+
+
 def _list_recent(
     history: OwnershipHistory,
     now: float,
--- a/balsamshed/node/tests/test_traffic.py
+++ b/balsamshed/node/tests/test_traffic.py
@@ -1,6 +1,8 @@
 """Guards against flows that break, move or run twice."""
 
 from balsamshed.flows.packets import TcpFlag
+from balsamshed.members.history import replace_ownership
+from balsamshed.members.member import Member
 from balsamshed.node.dispatch import handle_event
 from balsamshed.node.effects import (
     CountEvent,
@@ -162,3 +164,15 @@
     assert node.limiters['creneau/requests'].open_count == 0
     tick(node, 20.0)
     assert not node.flows.placements
+
+
+def test_a_feed_waits_for_a_holder_behind_a_partition():
+    """A reset would end a feed that only has to wait for the partition."""
+    node = make_node()
+    own = node.membership.own
+    other = Member('lb-2', 'qc-2', '127.0.0.1', 3, 4)
+    replace_ownership(node.history, (own, other), 1.0)
+    replace_ownership(node.history, (own,), 2.0)
+    packet = make_packet(ACK, port=FEED_PORT)
+    assert receive(node, packet, 3.0) == (Drop('holder_unreachable'),)
+    assert isinstance(receive(node, packet, 40.0)[0], RefuseFlow)
--- a/balsamshed/node/traffic.py
+++ b/balsamshed/node/traffic.py
@@ -21,7 +21,11 @@
     get_placement,
 )
 from balsamshed.limits.limiter import Outcome
-from balsamshed.members.history import changed_owner, list_former_owners
+from balsamshed.members.history import (
+    changed_owner,
+    list_former_owners,
+    lost_holder,
+)
 from balsamshed.members.ownership import get_hash_slot
 from balsamshed.node.effects import (
     CountEvent,
@@ -43,6 +47,8 @@
 from balsamshed.node.state import Node
 from balsamshed.placement.candidates import list_candidates
 
+#: How long a feed without entry waits for a member that is out of reach.
+HOLDER_SECONDS: Final = 30.0
 #: A SYN may be retransmitted through a new owner for this long.
 SYN_REPEAT_SECONDS: Final = 10.0
 
@@ -206,11 +212,7 @@
     packet = relay.packet
     placement = node.flows.placements.get(packet.flow_key)
     if placement is not None:
-        queue_copy(
-            node.copies,
-            relay.asker,
-            FlowCopy(packet.flow_key, placement.host),
-        )
+        _give_away(node, relay, placement)
         return _serve_known(node, packet, route, placement, now)
     if relay.chain:
         onward = Relay(relay.kind, relay.asker, relay.chain[1:], packet)
@@ -219,6 +221,19 @@
     return (SendRelay(relay.asker, returned),)
 
 
+def _give_away(node: Node, relay: Relay, placement: Placement) -> None:
+    flow_key = relay.packet.flow_key
+    copy = FlowCopy(flow_key, placement.host)
+    queue_copy(node.copies, relay.asker, copy)
+    # The asker holds the entry from now on, so that a leaving node need not
+    # wait for the flow's end.
+    node.flows.placements[flow_key] = get_placement(
+        placement.host,
+        is_feed=placement.is_feed,
+        is_copied=True,
+    )
+
+
 def _decide_finally(
     node: Node,
     packet: Packet,
@@ -232,15 +247,15 @@
         return open_flow(node, packet, route, now)
     if packet.flags & TcpFlag.RST:
         return (Drop('reset_of_unknown_flow'),)
-    host = None
-    if route.listener.kind is ListenerKind.REQUEST:
-        host = derive_host(
-            node.candidates,
-            route.name,
-            packet.flow_key,
-            now,
-            list_candidates,
-        )
+    if route.listener.kind is ListenerKind.FEED:
+        return _refuse_unknown_feed(node, packet, now)
+    host = derive_host(
+        node.candidates,
+        route.name,
+        packet.flow_key,
+        now,
+        list_candidates,
+    )
     if host is None:
         return (RefuseFlow(packet), CountEvent('flow_reset_unknown'))
     placement = get_placement(host, is_feed=False, is_copied=False)
@@ -249,6 +264,15 @@
     return (*served, CountEvent('flow_derived'))
 
 
+def _refuse_unknown_feed(node: Node, packet: Packet, now: float) -> Effects:
+    slot = get_hash_slot(packet.flow_key)
+    if lost_holder(node.history, slot, node.reachable, now, HOLDER_SECONDS):
+        # A partition may hide the entry. Answers still pass, so the feed
+        # goes on; a reset would end it for good.
+        return (Drop('holder_unreachable'),)
+    return (RefuseFlow(packet), CountEvent('flow_reset_unknown'))
+
+
 def _handle_answer(node: Node, packet: Packet, now: float) -> Effects:
     route = node.routing.endpoints.get((packet.source, packet.source_port))
     if route is None:
