Skip flows that ended during a handoff and survive faulty events

A leaving balancer then found a count without an entry, the exception ended its timer, and the process stayed until it was killed: 10 s for two of three balancers at the end of the demo. Ruled out: the wait for copies; the log showed KeyError in has_open_request. Change: the handoff looks each entry up again; an event that fails is logged as internal_error and counted, and the timer goes on.

--- a/balsamshed/front_ends/performers.py
+++ b/balsamshed/front_ends/performers.py
@@ -15,6 +15,7 @@
 def create_event_sink(
     decide: Callable[[Event], Iterable[Effect]],
     performers: Performers,
+    report_failure: Callable[[], None],
 ) -> EventSink:
     """Return a function that decides on an event and carries out the effects.
 
@@ -24,6 +25,9 @@
         Returns the effects of an event.
     performers : dict of type to callable
         May still be filled after this call.
+    report_failure : callable
+        Called while an unexpected exception is handled. One event that
+        cannot be handled must not end the process or its timer.
 
     Returns
     -------
@@ -31,8 +35,14 @@
         Takes an event.
     """
 
-    def sink(event: Event) -> None:
-        for effect in decide(event):
+    def perform(effects: Iterable[Effect]) -> None:
+        for effect in effects:
             performers[type(effect)](effect)
 
+    def sink(event: Event) -> None:
+        try:
+            perform(decide(event))
+        except Exception:
+            report_failure()
+
     return sink
--- a/balsamshed/front_ends/process.py
+++ b/balsamshed/front_ends/process.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import time
+import traceback
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from typing import Any, Final
@@ -74,7 +75,11 @@
     metrics = create_metrics()
     performers: Performers = {}
     write_log = create_event_log()
-    sink = create_event_sink(_create_decider(node), performers)
+    sink = create_event_sink(
+        _create_decider(node),
+        performers,
+        _create_failure_reporter(metrics, write_log),
+    )
     reactor.installNameResolver(create_literal_resolver())
     with _open_ports(settings, node, metrics, sink, performers):
         performers.update(_create_process_performers(metrics, write_log))
@@ -115,6 +120,17 @@
     )
 
 
+def _create_failure_reporter(
+    metrics: Metrics,
+    write_log: EventWriter,
+) -> Callable[[], None]:
+    def report_failure() -> None:
+        metrics.count_event('internal_error')
+        write_log('internal_error', traceback=traceback.format_exc())
+
+    return report_failure
+
+
 def _create_decider(node: Node) -> Callable[[Event], Iterable[Effect]]:
     read_clock = time.monotonic
 
--- a/balsamshed/node/ownership.py
+++ b/balsamshed/node/ownership.py
@@ -47,7 +47,7 @@
             drop_member(node.copies, target)
     set_member_count(node.board, max(len(owners), 1))
     if owners and replace_ownership(node.history, owners, now):
-        node.handoff = iter(tuple(node.flows.placements.items()))
+        node.handoff = iter(tuple(node.flows.placements))
     fields = {
         'owners': len(owners),
         'reachable': len(reachable),
@@ -68,9 +68,12 @@
     now : float
         Monotonic seconds.
     """
-    for flow_key, placement in islice(node.handoff, limit):
-        is_open = flow_key not in node.flows.ended
-        if placement.is_copied and is_open:
+    for flow_key in islice(node.handoff, limit):
+        placement = node.flows.placements.get(flow_key)
+        if placement is None or flow_key in node.flows.ended:
+            # Ended since the membership changed.
+            continue
+        if placement.is_copied:
             _hand_off(node, flow_key, placement, now)
 
 
--- a/balsamshed/node/state.py
+++ b/balsamshed/node/state.py
@@ -10,7 +10,7 @@
 from balsamshed.configuration.routing import RoutingTable
 from balsamshed.flows.copies import CopyQueue, has_allowance
 from balsamshed.flows.derivation import CandidateHistory
-from balsamshed.flows.table import FlowTable, Placement
+from balsamshed.flows.table import FlowTable
 from balsamshed.limits.limiter import Limiter
 from balsamshed.limits.overload import OverloadState
 from balsamshed.limits.retries import RetryBudget
@@ -58,8 +58,8 @@
         Entries of flows.
     copies : CopyQueue
         Copies of entries for other members.
-    handoff : iterator
-        Entries still to be checked after a membership change.
+    handoff : iterator of bytes
+        Flows still to be checked after a membership change.
     candidates : CandidateHistory
         Candidate lists of the last minute.
     board : LoadBoard
@@ -114,9 +114,7 @@
     overload: OverloadState
     view_version: int = -1
     reachable: frozenset[str] = frozenset()
-    handoff: Iterator[tuple[bytes, Placement]] = field(
-        default_factory=lambda: iter(()),
-    )
+    handoff: Iterator[bytes] = field(default_factory=lambda: iter(()))
     limiters: dict[str, Limiter] = field(default_factory=dict)
     retries: dict[str, RetryBudget] = field(default_factory=dict)
     audit: AuditQueue = field(default_factory=AuditQueue)
--- a/balsamshed/node/tests/test_traffic.py
+++ b/balsamshed/node/tests/test_traffic.py
@@ -1,6 +1,7 @@
 """Guards against flows that break, move or run twice."""
 
 from balsamshed.flows.packets import TcpFlag
+from balsamshed.limits.limiter import Outcome
 from balsamshed.members.history import replace_ownership
 from balsamshed.members.member import Member
 from balsamshed.node.dispatch import handle_event
@@ -12,6 +13,8 @@
     ReturnPacket,
 )
 from balsamshed.node.events import RecordsChanged
+from balsamshed.node.ownership import hand_off_entries
+from balsamshed.node.releases import forget_flow
 from balsamshed.node.tests.builders import (
     ADDRESS,
     FEED_PORT,
@@ -176,3 +179,14 @@
     packet = make_packet(ACK, port=FEED_PORT)
     assert receive(node, packet, 3.0) == (Drop('holder_unreachable'),)
     assert isinstance(receive(node, packet, 40.0)[0], RefuseFlow)
+
+
+def test_flows_that_end_during_a_handoff_are_not_counted_again():
+    """A count without an entry ended the timer of a leaving balancer."""
+    node = make_node()
+    open_flow(node, port=FEED_PORT)
+    node.handoff = iter(tuple(node.flows.placements))
+    for flow_key in tuple(node.flows.placements):
+        forget_flow(node, flow_key, Outcome.UNKNOWN, 1.1)
+    hand_off_entries(node, 10, 1.2)
+    assert not node.flows.opened_at
