Do not count copies of requests as open

Cause: after the kill of one of 8 balancers the others refused most requests for the rest of the run. The backup keeps the entry of an ended request until the owner's notice 10 s later; the new owner counted these entries against its concurrency limit, and nothing ended them. Ruled out: a limit that stays low after the stall; the limits had recovered to 4 to 5 while 3 to 10 requests counted as open without any load. Change: only feeds are counted when another member's entry is taken over; limits and open flows show as metrics by listener.

--- a/balsamshed/front_ends/process.py
+++ b/balsamshed/front_ends/process.py
@@ -275,7 +275,7 @@
 
 def _set_gauges(
     node: Node,
-    set_gauge: Callable[[str, float], None],
+    set_gauge: Callable[..., None],
     delay: float,
 ) -> None:
     usage = resource.getrusage(resource.RUSAGE_SELF)
@@ -293,3 +293,14 @@
     }
     for name, amount in gauges.items():
         set_gauge(name, amount)
+    for listener, limiter in node.limiters.items():
+        set_gauge(
+            'balsamshed_concurrency_limit',
+            limiter.limit,
+            listener=listener,
+        )
+        set_gauge(
+            'balsamshed_requests_in_flight',
+            limiter.open_count,
+            listener=listener,
+        )
--- a/balsamshed/node/ownership.py
+++ b/balsamshed/node/ownership.py
@@ -6,18 +6,14 @@
 from balsamshed.flows.copies import drop_member, queue_copy
 from balsamshed.flows.messages import FlowCopy
 from balsamshed.flows.table import Placement
-from balsamshed.limits.limiter import Outcome, adopt
+from balsamshed.limits.limiter import Outcome
 from balsamshed.members.history import replace_ownership
 from balsamshed.members.membership import list_owners, list_reachable
 from balsamshed.members.ownership import get_hash_slot
 from balsamshed.node.effects import Effect, LogEvent
-from balsamshed.node.releases import (
-    find_route,
-    get_limiter,
-    release_flow,
-)
+from balsamshed.node.releases import count_adopted_feed, release_flow
 from balsamshed.node.state import Node
-from balsamshed.placement.board import record_opened, set_member_count
+from balsamshed.placement.board import set_member_count
 
 #: Entries checked in one tick after a membership change: about 2 ms.
 HANDOFF_ENTRIES: Final = 2000
@@ -88,7 +84,7 @@
     backup = node.ownership.backups[slot]
     copy = FlowCopy(flow_key, placement.host)
     if owner == node.name:
-        _count_flow(node, flow_key, placement, now)
+        count_adopted_feed(node, flow_key, now)
         queue_copy(node.copies, backup, copy)
         return
     former = node.history.former[0].ownership
@@ -100,17 +96,3 @@
         queue_copy(node.copies, owner, copy)
         if backup != node.name:
             queue_copy(node.copies, backup, copy)
-
-
-def _count_flow(
-    node: Node,
-    flow_key: bytes,
-    placement: Placement,
-    now: float,
-) -> None:
-    route = find_route(node, flow_key)
-    if route is None or flow_key in node.flows.opened_at:
-        return
-    node.flows.opened_at[flow_key] = now
-    record_opened(node.board, placement.host, route.listener.kind)
-    adopt(get_limiter(node, route))
--- a/balsamshed/node/peers.py
+++ b/balsamshed/node/peers.py
@@ -12,7 +12,6 @@
 from balsamshed.flows.copies import accept_batch, acknowledge_batch
 from balsamshed.flows.messages import FlowCopies, FlowCopiesAck, FlowCopy
 from balsamshed.flows.table import adopt_flow, get_placement, remove_flow
-from balsamshed.limits.limiter import adopt
 from balsamshed.members.membership import Outgoing
 from balsamshed.members.messages import Ack, Ping, PingRequest
 from balsamshed.members.ownership import get_hash_slot
@@ -30,9 +29,9 @@
     compare_catalogs,
     learn_records,
 )
-from balsamshed.node.releases import find_route, get_limiter
+from balsamshed.node.releases import count_adopted_feed, find_route
 from balsamshed.node.state import Node
-from balsamshed.placement.board import record_opened, record_report
+from balsamshed.placement.board import record_report
 from balsamshed.placement.messages import LoadReports
 
 Effects = tuple[Effect, ...]
@@ -196,10 +195,8 @@
     is_feed = route is not None and route.listener.kind == 'feed'
     placement = get_placement(copy.host, is_feed=is_feed, is_copied=True)
     adopt_flow(node.flows, flow_key, placement, now)
-    if is_owner and route is not None:
-        node.flows.opened_at[flow_key] = now
-        record_opened(node.board, copy.host, route.listener.kind)
-        adopt(get_limiter(node, route))
+    if is_owner:
+        count_adopted_feed(node, flow_key, now)
 
 
 _RESPONDERS: Mapping[type[Any], Responder] = MappingProxyType(
--- a/balsamshed/node/releases.py
+++ b/balsamshed/node/releases.py
@@ -4,10 +4,16 @@
 from balsamshed.flows.copies import queue_copy
 from balsamshed.flows.messages import FlowCopy
 from balsamshed.flows.table import remove_flow
-from balsamshed.limits.limiter import Limiter, Outcome, create_limiter, release
+from balsamshed.limits.limiter import (
+    Limiter,
+    Outcome,
+    adopt,
+    create_limiter,
+    release,
+)
 from balsamshed.members.ownership import get_hash_slot
 from balsamshed.node.state import Node
-from balsamshed.placement.board import record_closed
+from balsamshed.placement.board import record_closed, record_opened
 
 
 def find_route(node: Node, flow_key: bytes) -> Route | None:
@@ -42,6 +48,32 @@
     return limiter
 
 
+def count_adopted_feed(node: Node, flow_key: bytes, now: float) -> None:
+    """Count an open feed that another member has placed.
+
+    Requests are not counted: the backup keeps the entry of an ended request
+    for a while, and a request that is counted but over would lower the limit
+    until its entry expires.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place; it owns the flow.
+    flow_key : bytes
+        Key of a flow in the table.
+    now : float
+        Monotonic seconds.
+    """
+    placement = node.flows.placements[flow_key]
+    route = find_route(node, flow_key)
+    if not placement.is_feed or route is None:
+        return
+    if flow_key not in node.flows.opened_at:
+        node.flows.opened_at[flow_key] = now
+        record_opened(node.board, placement.host, route.listener.kind)
+        adopt(get_limiter(node, route))
+
+
 def release_flow(
     node: Node,
     flow_key: bytes,
--- a/balsamshed/node/tests/test_traffic.py
+++ b/balsamshed/node/tests/test_traffic.py
@@ -1,5 +1,6 @@
 """Guards against flows that break, move or run twice."""
 
+from balsamshed.flows.messages import FlowCopies, FlowCopy
 from balsamshed.flows.packets import TcpFlag
 from balsamshed.limits.limiter import Outcome
 from balsamshed.members.history import replace_ownership
@@ -12,7 +13,8 @@
     RefuseFlow,
     ReturnPacket,
 )
-from balsamshed.node.events import RecordsChanged
+from balsamshed.node.events import PeerMessageReceived, RecordsChanged
+from balsamshed.node.messages import Envelope
 from balsamshed.node.ownership import hand_off_entries
 from balsamshed.node.releases import forget_flow
 from balsamshed.node.tests.builders import (
@@ -190,3 +192,16 @@
         forget_flow(node, flow_key, Outcome.UNKNOWN, 1.1)
     hand_off_entries(node, 10, 1.2)
     assert not node.flows.opened_at
+
+
+def test_copies_of_ended_requests_do_not_count_as_open():
+    """After the death of an owner they used up the limit of the new one."""
+    node = make_node()
+    ports = range(2000, 2010)
+    keys = [make_packet(SYN, caller_port=port).flow_key for port in ports]
+    copies = FlowCopies(1, tuple(FlowCopy(key, FIRST_HOST) for key in keys))
+    envelope = Envelope('lb-2', 0, copies)
+    handle_event(node, PeerMessageReceived(envelope, '127.0.0.1', 4), 1.0)
+    assert len(node.flows.placements) == 10
+    open_flow(node, caller_port=3000)
+    assert node.limiters['creneau/requests'].open_count == 1
