Measure slopes for the calculations of capacity

The target size of design section 1.5 had no calculations behind it: nothing measured what a node's control traffic, processor time and memory depend on.

`testbed.capacity_model` runs groups of real nodes with encoded datagrams, a simulated clock and network and the store of the test platform. `python -m testbed.measure_capacity [NAME]` prints a point for each place of a scale and a straight line through them. Real processes for each point were ruled out beyond 9 members: 64 of them take half of the machine. They are used for resident memory and for calls on the store.

--- /dev/null
+++ b/testbed/capacity_model.py
@@ -0,0 +1,542 @@
+"""Groups of nodes without sockets, for figures of capacity.
+
+The nodes decide with the product's code and exchange encoded datagrams. The
+clock and the network are simulated, the store is the one of
+`testbed.platform` without its HTTP calls.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from time import thread_time
+from types import MappingProxyType
+from typing import Any, Final
+
+from balsamshed.codecs.peers import (
+    DecodeFault,
+    decode_envelope,
+    encode_envelope,
+)
+from balsamshed.configuration.catalog import Record
+from balsamshed.members.member import Member
+from balsamshed.node.dispatch import handle_event
+from balsamshed.node.effects import (
+    ListRecords,
+    ListVms,
+    ProbeLoad,
+    SendPeerMessage,
+    Stop,
+    WatchRecords,
+    WriteRecord,
+)
+from balsamshed.node.events import (
+    Event,
+    LoadReported,
+    PeerMessageReceived,
+    RecordsChanged,
+    RecordsListed,
+    RecordWritten,
+    Ticked,
+    VmsListed,
+    WriteConflicted,
+)
+from balsamshed.node.messages import Envelope
+from balsamshed.node.state import Node, create_node
+from balsamshed.placement import candidates
+from balsamshed.placement.messages import LoadReport
+from balsamshed.platform.session import WATCH_SECONDS
+from testbed.platform import Conflict, Platform, StoredObject, write_object
+
+GROUP: Final = 'qc-est'
+TICK_SECONDS: Final = 0.1
+#: One way between two nodes, and each way to the store.
+NETWORK_SECONDS: Final = 0.001
+#: IPv4 and UDP headers of a datagram.
+HEADER_BYTES: Final = 28
+#: Wall time at the start, in seconds since the Unix epoch.
+START_WALL_TIME: Final = 1_796_374_800.0
+
+_KEY: Final = bytes(range(16))
+
+# The nodes of a group share this cache here, while each process has its own.
+setattr(candidates, 'CACHED_ROUTES', 128 * candidates.CACHED_ROUTES)
+
+
+@dataclass(slots=True)
+class Usage:
+    """What one node has used since the last reset.
+
+    Attributes
+    ----------
+    sent, received : Counter of str
+        Bytes with their headers by kind of message.
+    messages : int
+        Datagrams sent.
+    processor_seconds : float
+        Time in decisions and codecs.
+    calls : Counter of str
+        Calls on the store by kind.
+    """
+
+    sent: Counter[str] = field(default_factory=Counter)
+    received: Counter[str] = field(default_factory=Counter)
+    messages: int = 0
+    processor_seconds: float = 0
+    calls: Counter[str] = field(default_factory=Counter)
+
+
+@dataclass(slots=True)
+class Group:
+    """Nodes by name with everything that is on its way between them.
+
+    Attributes
+    ----------
+    random : Random
+        Source of all random numbers.
+    data_centres : int
+        Data centres among which the nodes are divided.
+    now : float
+        Monotonic seconds.
+    nodes : dict of str to Node
+        Running nodes.
+    addresses : dict of (str, int) to str
+        Name of the node at each control address.
+    usage : dict of str to Usage
+        Usage of each node.
+    platform : Platform
+        The store.
+    watches : dict of str to (int, int)
+        Number and revision of the pending watch of each node.
+    vms : tuple of Member
+        The platform's list of VMs.
+    queue : list
+        Events by their time.
+    numbers : iterator of int
+        Breaks ties in the queue.
+    """
+
+    random: Random
+    data_centres: int = 3
+    now: float = 1000
+    nodes: dict[str, Node] = field(default_factory=dict)
+    addresses: dict[tuple[str, int], str] = field(default_factory=dict)
+    usage: dict[str, Usage] = field(default_factory=dict)
+    platform: Platform = field(default_factory=Platform)
+    watches: dict[str, tuple[int, int]] = field(default_factory=dict)
+    vms: tuple[Member, ...] = ()
+    queue: list[tuple[float, int, Callable[[], None]]] = field(
+        default_factory=list,
+    )
+    numbers: Any = field(default_factory=count)
+
+
+def build_group(
+    size: int,
+    services: int,
+    servers: int,
+    *,
+    has_reports: bool = False,
+    data_centres: int = 3,
+    seed: int = 1,
+) -> Group:
+    """Start a group and let it settle.
+
+    Parameters
+    ----------
+    size : int
+        Nodes.
+    services, servers : int
+        Declared services, and backend servers among all of them.
+    has_reports : bool
+        Whether the backend servers have load reports.
+    data_centres : int
+        Data centres among which the nodes are divided.
+    seed : int
+        Seed of the random numbers.
+
+    Returns
+    -------
+    Group
+        All know each other and have all records; the news of the joins has
+        been sent out and the usage is zero.
+    """
+    group = Group(Random(seed), data_centres)  # noqa: S311
+    declare_objects(group.platform, services, servers, has_reports=has_reports)
+    for index in range(size):
+        start_node(group, index)
+    run_group(group, 15)
+    for node in group.nodes.values():
+        # The news of many joins would take another minute to be sent out.
+        node.membership.news.clear()
+    run_group(group, 10)
+    reset_usage(group)
+    return group
+
+
+def describe_member(index: int, data_centres: int) -> Member:
+    """Return the member with a number."""
+    return Member(
+        name=f'balancer-{index:05}',
+        data_centre=f'qc-est-{index % data_centres + 1}',
+        host=f'10.20.{index // 250}.{index % 250 + 1}',
+        data_port=7000,
+        control_port=7001,
+    )
+
+
+def start_node(group: Group, index: int, *, is_listed: bool = True) -> Node:
+    """Start a node with the first two as its seeds.
+
+    Parameters
+    ----------
+    group : Group
+        Changed in place.
+    index : int
+        Number of the node.
+    is_listed : bool
+        Whether the store answers its list; otherwise it learns from peers.
+
+    Returns
+    -------
+    Node
+        The node, whose first tick comes at a random time.
+    """
+    own = describe_member(index, group.data_centres)
+    seeds = [
+        (seed.host, seed.control_port)
+        for seed in map(describe_member, (0, 1), (group.data_centres,) * 2)
+    ]
+    node = create_node(
+        own,
+        GROUP,
+        seeds,
+        group.random.randrange,
+        group.now,
+        START_WALL_TIME + group.now,
+    )
+    if not is_listed:
+        node.session.has_listed = True
+    group.nodes[own.name] = node
+    group.addresses[own.host, own.control_port] = own.name
+    group.usage[own.name] = Usage()
+    _schedule(
+        group,
+        group.random.random() * TICK_SECONDS,
+        lambda: _tick(group, own.name, node),
+    )
+    return node
+
+
+def stop_node(group: Group, name: str) -> None:
+    """End a node without notice."""
+    own = group.nodes.pop(name).membership.own
+    group.addresses.pop((own.host, own.control_port))
+    group.watches.pop(name, None)
+
+
+def run_group(group: Group, seconds: float) -> None:
+    """Advance the clock."""
+    end = group.now + seconds
+    while group.queue and group.queue[0][0] <= end:
+        moment, _number, run = heappop(group.queue)
+        group.now = moment
+        run()
+    group.now = end
+
+
+def reset_usage(group: Group) -> None:
+    """Count from zero again."""
+    group.usage = {name: Usage() for name in group.nodes}
+
+
+def dispatch_event(group: Group, name: str, event: Event) -> None:
+    """Let a node handle an event and perform its effects.
+
+    Parameters
+    ----------
+    group : Group
+        Changed in place.
+    name : str
+        Name of a node, which may have stopped.
+    event : Event
+        What happened.
+    """
+    node = group.nodes.get(name)
+    if node is None:
+        return
+    started_at = thread_time()
+    effects = handle_event(node, event, group.now)
+    group.usage[name].processor_seconds += thread_time() - started_at
+    for effect in effects:
+        perform = _PERFORMERS.get(type(effect))
+        if perform is not None:
+            perform(group, node, effect)
+
+
+def declare_objects(
+    platform: Platform,
+    services: int,
+    servers: int,
+    *,
+    has_reports: bool = False,
+) -> None:
+    """Write services and backend servers to a store.
+
+    Parameters
+    ----------
+    platform : Platform
+        Changed in place.
+    services, servers : int
+        Services, and backend servers among all of them.
+    has_reports : bool
+        Whether the backend servers have load reports.
+    """
+    for key, body in build_bodies(services, servers, has_reports).items():
+        write_object(platform, key, 0, body)
+
+
+def build_bodies(
+    services: int,
+    servers: int,
+    has_reports: bool,
+) -> dict[str, dict[str, Any]]:
+    """Return the bodies of services and backend servers by their keys."""
+    bodies = {
+        f'{GROUP}/service/service-{index:04}': _build_body(
+            _build_service(index),
+        )
+        for index in range(services)
+    }
+    for index in range(servers):
+        spec = _build_server(index, services)
+        if has_reports:
+            spec['load_url'] = f'http://{spec["host"]}:7009/load'
+        key = f'{GROUP}/backend_server/server-{index:04}'
+        bodies[key] = _build_body(spec)
+    return bodies
+
+
+def change_object(group: Group, index: int) -> int:
+    """Change the slots of a backend server as an operator would.
+
+    Parameters
+    ----------
+    group : Group
+        Changed in place.
+    index : int
+        Number of the backend server.
+
+    Returns
+    -------
+    int
+        Version of the change.
+    """
+    key = f'{GROUP}/backend_server/server-{index:04}'
+    known = group.platform.objects[key]
+    known_body: Any = known.body
+    spec = {**known_body['spec'], 'slots': known_body['spec']['slots'] % 9 + 1}
+    changes = [
+        *known_body['changes'],
+        _build_change(known.version),
+    ]
+    body = {**known_body, 'spec': spec, 'changes': changes[-16:]}
+    written = write_object(group.platform, key, known.version, body)
+    _notify_watches(group)
+    return written.version
+
+
+def build_records(platform: Platform) -> tuple[Record, ...]:
+    """Return all objects of a store as records."""
+    return tuple(map(_build_record, platform.objects.values()))
+
+
+def _build_body(spec: dict[str, Any]) -> dict[str, Any]:
+    return {'spec': spec, 'changes': [_build_change(0)], 'deleted': False}
+
+
+def _build_change(version: int) -> dict[str, Any]:
+    return {
+        'change_id': '6f1c2a90-8d55-4f4e-9b5c-0e6a4c1f7d21',
+        'who': 'operator@example.net',
+        'when': '2026-12-04T08:00:00.000000Z',
+        'from_version': version,
+        'action': 'apply',
+    }
+
+
+def _build_service(index: int) -> dict[str, Any]:
+    listener = {'name': 'feed', 'port': 7001, 'kind': 'feed'}
+    request = {'name': 'requests', 'port': 7002, 'kind': 'request'}
+    return {
+        'customer': 'buanderie',
+        'address': f'192.0.{2 + index // 250}.{index % 250 + 1}',
+        'listeners': [
+            {**listener, 'work_class': 'feed'},
+            {**request, 'work_class': 'urgent'},
+        ],
+    }
+
+
+def _build_server(index: int, services: int) -> dict[str, Any]:
+    return {
+        'service': f'service-{index % services:04}',
+        'host': f'10.8.{index // 250}.{index % 250 + 1}',
+        'data_centre': f'qc-est-{index % 3 + 1}',
+        'slots': 2,
+    }
+
+
+def _build_record(entry: StoredObject) -> Record:
+    body: Any = entry.body
+    return Record(entry.key, entry.version, body)
+
+
+def _schedule(group: Group, delay: float, run: Callable[[], None]) -> None:
+    heappush(group.queue, (group.now + delay, next(group.numbers), run))
+
+
+def _send_event(group: Group, name: str, event: Event) -> None:
+    _schedule(
+        group,
+        NETWORK_SECONDS,
+        lambda: dispatch_event(group, name, event),
+    )
+
+
+def _tick(group: Group, name: str, node: Node) -> None:
+    if group.nodes.get(name) is not node:
+        return
+    dispatch_event(group, name, Ticked(START_WALL_TIME + group.now, 0))
+    _schedule(group, TICK_SECONDS, lambda: _tick(group, name, node))
+
+
+def _send_message(group: Group, node: Node, effect: SendPeerMessage) -> None:
+    envelope = Envelope(
+        node.name,
+        node.membership.own.incarnation,
+        effect.message,
+    )
+    started_at = thread_time()
+    datagram = encode_envelope(envelope, _KEY)
+    usage = group.usage[node.name]
+    usage.processor_seconds += thread_time() - started_at
+    usage.messages += 1
+    kind = type(effect.message).__name__
+    usage.sent[kind] += len(datagram) + HEADER_BYTES
+    own = node.membership.own
+    source = (own.host, own.control_port)
+    target = (effect.host, effect.control_port)
+    _schedule(
+        group,
+        NETWORK_SECONDS,
+        lambda: _deliver(group, target, source, datagram),
+    )
+
+
+def _deliver(
+    group: Group,
+    target: tuple[str, int],
+    source: tuple[str, int],
+    datagram: bytes,
+) -> None:
+    name = group.addresses.get(target)
+    if name is None:
+        return
+    started_at = thread_time()
+    envelope = decode_envelope(datagram, _KEY)
+    usage = group.usage[name]
+    usage.processor_seconds += thread_time() - started_at
+    if isinstance(envelope, DecodeFault):
+        raise RuntimeError(f'a datagram was not decoded: {envelope.reason}')
+    kind = type(envelope.message).__name__
+    usage.received[kind] += len(datagram) + HEADER_BYTES
+    dispatch_event(group, name, PeerMessageReceived(envelope, *source))
+
+
+def _list_records(group: Group, node: Node, effect: ListRecords) -> None:
+    group.usage[node.name].calls['list'] += 1
+    records = build_records(group.platform)
+    event = RecordsListed(group.platform.revision, records)
+    _send_event(group, node.name, event)
+
+
+def _watch_records(group: Group, node: Node, effect: WatchRecords) -> None:
+    group.usage[node.name].calls['watch'] += 1
+    watch = (next(group.numbers), effect.revision)
+    group.watches[node.name] = watch
+    _schedule(
+        group,
+        WATCH_SECONDS,
+        lambda: _expire_watch(group, node.name, watch),
+    )
+    _notify_watches(group)
+
+
+def _notify_watches(group: Group) -> None:
+    revision = group.platform.revision
+    for name, (_number, since) in tuple(group.watches.items()):
+        if since >= revision:
+            continue
+        group.watches.pop(name)
+        records = tuple(
+            _build_record(entry)
+            for entry in group.platform.objects.values()
+            if entry.version > since
+        )
+        _send_event(group, name, RecordsChanged(revision, records))
+
+
+def _expire_watch(group: Group, name: str, watch: tuple[int, int]) -> None:
+    if group.watches.get(name) != watch:
+        return
+    group.watches.pop(name)
+    _send_event(group, name, RecordsChanged(group.platform.revision, ()))
+
+
+def _write_record(group: Group, node: Node, effect: WriteRecord) -> None:
+    group.usage[node.name].calls['write'] += 1
+    written = write_object(
+        group.platform,
+        effect.key,
+        effect.expected_version,
+        effect.body,
+    )
+    event: Event = RecordWritten(effect.key, written.version)
+    if isinstance(written, Conflict):
+        event = WriteConflicted(effect.key, written.version)
+    else:
+        _notify_watches(group)
+    _send_event(group, node.name, event)
+
+
+def _list_vms(group: Group, node: Node, effect: ListVms) -> None:
+    group.usage[node.name].calls['vms'] += 1
+    _send_event(group, node.name, VmsListed(group.vms))
+
+
+def _probe_load(group: Group, node: Node, effect: ProbeLoad) -> None:
+    group.usage[node.name].calls['probe'] += 1
+    report = LoadReport(effect.host, 2, 1, 0)
+    _send_event(group, node.name, LoadReported(report))
+
+
+def _stop(group: Group, node: Node, effect: Stop) -> None:
+    stop_node(group, node.name)
+
+
+_PERFORMERS: Final[Mapping[type[Any], Callable[[Group, Node, Any], None]]] = (
+    MappingProxyType(
+        {
+            SendPeerMessage: _send_message,
+            ListRecords: _list_records,
+            WatchRecords: _watch_records,
+            WriteRecord: _write_record,
+            ListVms: _list_vms,
+            ProbeLoad: _probe_load,
+            Stop: _stop,
+        }
+    )
+)
--- /dev/null
+++ b/testbed/measure_capacity.py
@@ -0,0 +1,744 @@
+"""Slopes for ``docs/CAPACITY.md``: ``python -m testbed.measure_capacity``.
+
+Names of measurements may follow; all run without them. Each prints a line
+of key=value pairs for each point, and one for each straight line that was
+fitted to at least three points: number of points, range, slope, intercept
+and residual (root of the mean square, in the unit of the value).
+"""
+
+import json
+import os
+import sys
+import tracemalloc
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from functools import partial
+from itertools import islice
+from math import sqrt
+from statistics import fmean, linear_regression, median
+from time import monotonic, perf_counter, sleep
+from timeit import repeat
+from types import MappingProxyType
+from typing import Any, Final
+from urllib.request import Request, urlopen
+
+from balsamshed.configuration.catalog import (
+    Catalog,
+    Record,
+    derive_routing_table,
+    merge_records,
+)
+from balsamshed.flows.packets import Packet, TcpFlag, build_flow_key
+from balsamshed.flows.table import adopt_flow, get_placement
+from balsamshed.members import ownership
+from balsamshed.members.ownership import assign_slots, get_hash_slot
+from balsamshed.node.events import PacketReceived
+from balsamshed.node.records import apply_catalog, assign_probes
+from balsamshed.node.state import Node
+from testbed.capacity_model import (
+    GROUP,
+    Group,
+    build_bodies,
+    build_group,
+    build_records,
+    change_object,
+    declare_objects,
+    describe_member,
+    dispatch_event,
+    reset_usage,
+    run_group,
+    start_node,
+    stop_node,
+)
+from testbed.fleet import (
+    exchange,
+    run_fleet,
+    start_balancer,
+    wait_until_ready,
+)
+from testbed.platform import Platform
+
+SIZES: Final = (3, 8, 16, 32, 64)
+#: Services and backend servers of a group: today's size, steps between, and
+#: 32,000 and 74,000 divided by 172 groups.
+CATALOGS: Final = ((2, 10), (30, 70), (93, 215), (186, 430))
+TODAY: Final = CATALOGS[0]
+TARGET: Final = CATALOGS[-1]
+CHANGES_PER_MINUTE: Final = (0, 1, 10, 100)
+FEEDS_PER_SECOND: Final = (0, 5, 10, 20, 50, 100, 200)
+
+_IDLE_SECONDS: Final = 20.0
+_SPREAD_CHANGES: Final = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """Values at one place of the scale.
+
+    Parameters
+    ----------
+    place : float
+        For example the number of members.
+    values : mapping of str to float
+        Measured values by their names, which end in their units.
+    """
+
+    place: float
+    values: Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """A measurement by its scale.
+
+    Parameters
+    ----------
+    scale : str
+        What is varied.
+    measure : callable
+        Returns the points.
+    """
+
+    scale: str
+    measure: Callable[[], Iterator[Point]]
+
+
+def measure_members() -> Iterator[Point]:
+    """Measure idle groups of today's catalog against their size."""
+    for size in SIZES:
+        group = build_group(size, *TODAY)
+        run_group(group, _IDLE_SECONDS)
+        yield Point(size, _summarize(group, _IDLE_SECONDS))
+
+
+def measure_records() -> Iterator[Point]:
+    """Measure idle groups of eight members against their records."""
+    for services, servers in CATALOGS:
+        group = build_group(8, services, servers)
+        run_group(group, _IDLE_SECONDS)
+        usage = _summarize(group, _IDLE_SECONDS)
+        yield Point(services + servers, usage)
+
+
+def measure_changes(size: int = 16) -> Iterator[Point]:
+    """Measure a group with today's catalog against changes a minute."""
+    for rate in CHANGES_PER_MINUTE:
+        group = build_group(size, *TODAY)
+        seconds = 60
+        for index in range(rate):
+            change_object(group, index % TODAY[1])
+            run_group(group, seconds / rate)
+        if not rate:
+            run_group(group, seconds)
+        yield Point(rate, _summarize(group, seconds))
+
+
+def measure_failures() -> Iterator[Point]:
+    """Measure the additional cost of one death against the group's size."""
+    yield from _measure_events(_fail_node)
+
+
+def measure_joins() -> Iterator[Point]:
+    """Measure the additional cost of one join against the group's size."""
+    yield from _measure_events(_join_node)
+
+
+def measure_reports() -> Iterator[Point]:
+    """Measure load reports in 16 members against backend servers."""
+    for services, servers in CATALOGS:
+        group = build_group(16, services, servers, has_reports=True)
+        run_group(group, _IDLE_SECONDS)
+        yield Point(servers, _summarize(group, _IDLE_SECONDS))
+
+
+def measure_target() -> Iterator[Point]:
+    """Measure one group of the target's size, idle, with load reports."""
+    group = build_group(64, *TARGET, has_reports=True)
+    run_group(group, _IDLE_SECONDS)
+    usage = _summarize(group, _IDLE_SECONDS)
+    readers = {
+        name for name, node in group.nodes.items() if name in node.readers
+    }
+    firsts = {
+        name
+        for name, node in group.nodes.items()
+        if node.readers[:1] == (name,)
+    }
+    for role, names in (
+        ('plain', group.nodes.keys() - readers),
+        ('reader', readers - firsts),
+        ('first_reader', firsts),
+    ):
+        cost = fmean(group.usage[name].processor_seconds for name in names)
+        usage[f'{role}_processor_percent'] = 100 * cost / _IDLE_SECONDS
+    yield Point(64, usage)
+
+
+def measure_feeds(size: int = 8) -> Iterator[Point]:
+    """Measure one owner against its new feeds a second."""
+    for rate in FEEDS_PER_SECOND:
+        group = build_group(size, *TODAY)
+        name = next(iter(group.nodes))
+        flows = _iterate_syns(group.nodes[name])
+        ticks = 100
+        for tick in range(ticks):
+            due = rate * (tick + 1) // 10 - rate * tick // 10
+            for packet in islice(flows, due):
+                _open_feed(group, name, packet)
+            run_group(group, 0.1)
+        usage = group.usage[name]
+        node = group.nodes[name]
+        others = [entry for key, entry in group.usage.items() if key != name]
+        seconds = ticks / 10
+        yield Point(
+            rate,
+            {
+                'copy_bytes_per_second': usage.sent['FlowCopies'] / seconds,
+                'ack_bytes_per_second': usage.received['FlowCopiesAck']
+                / seconds,
+                'processor_percent': 100 * usage.processor_seconds / seconds,
+                'backups_processor_percent': 100
+                * sum(entry.processor_seconds for entry in others)
+                / seconds,
+                'waiting_copies': sum(map(len, node.copies.pending.values())),
+            },
+        )
+
+
+def measure_hints() -> Iterator[Point]:
+    """Measure a group of eight against the length of the list of VMs."""
+    for vms in (8, 100, 1000, 11_000):
+        group = build_group(8, *TODAY)
+        group.vms = tuple(describe_member(index, 3) for index in range(vms))
+        run_group(group, 12)
+        reset_usage(group)
+        run_group(group, _IDLE_SECONDS)
+        usage = _summarize(group, _IDLE_SECONDS)
+        document = [
+            {
+                'name': vm.name,
+                'data_centre': vm.data_centre,
+                'host': vm.host,
+                'control_port': vm.control_port,
+                'leaving': False,
+            }
+            for vm in group.vms
+        ]
+        calls = sum(entry.calls['vms'] for entry in group.usage.values())
+        usage['list_bytes'] = len(json.dumps({'vms': document}))
+        usage['vms_calls_per_reader_minute'] = calls / 6 / _IDLE_SECONDS * 60
+        yield Point(vms, usage)
+
+
+def measure_spread(catalog: tuple[int, int] = TODAY) -> Iterator[Point]:
+    """Measure the time from a write to its being in force everywhere."""
+    for size in SIZES:
+        group = build_group(size, *catalog)
+        readers = {
+            name for node in group.nodes.values() for name in node.readers
+        }
+        to_readers: list[float] = []
+        to_all: list[float] = []
+        for index in range(_SPREAD_CHANGES):
+            started_at = group.now
+            version = change_object(group, index)
+            to_readers.append(_wait_for(group, readers, version) - started_at)
+            names = group.nodes.keys()
+            to_all.append(_wait_for(group, names, version) - started_at)
+            run_group(group, group.random.uniform(1, 2))
+        yield Point(
+            size,
+            {
+                'readers_ms': 1000 * median(to_readers),
+                'median_ms': 1000 * median(to_all),
+                'longest_ms': 1000 * max(to_all),
+            },
+        )
+
+
+def measure_assignment() -> Iterator[Point]:
+    """Measure the assignment of hash slots and load probes to members."""
+    for size in SIZES:
+        members = [describe_member(index, 3) for index in range(size)]
+        score = getattr(ownership, '_compute_scores')  # noqa: B009
+        score.cache_clear()
+        assign = partial(assign_slots, members)
+        started_at = perf_counter()
+        assign()
+        cold = perf_counter() - started_at
+        yield Point(size, {'cold_ms': 1000 * cold, 'warm_ms': _time_ms(assign)})
+
+
+def measure_derivation() -> Iterator[Point]:
+    """Measure what one change costs a node against its records."""
+    for services, servers in CATALOGS:
+        group = build_group(3, services, servers, has_reports=True)
+        node = next(iter(group.nodes.values()))
+        records = tuple(node.catalog.records.values())
+        values: dict[str, Callable[[], object]] = {
+            'derive_ms': partial(derive_routing_table, node.catalog),
+            'apply_ms': partial(apply_catalog, node, group.now),
+            'merge_all_ms': partial(_merge, records),
+            'merge_one_ms': partial(_merge, records[-1:]),
+        }
+        yield Point(
+            len(records),
+            {name: _time_ms(run) for name, run in values.items()},
+        )
+
+
+def measure_probes() -> Iterator[Point]:
+    """Measure the division of 430 load probes against members."""
+    for size in SIZES:
+        group = build_group(size, *TARGET, has_reports=True)
+        node = next(iter(group.nodes.values()))
+        values: dict[str, Callable[[], object]] = {
+            'probes_ms': partial(assign_probes, node),
+            'apply_ms': partial(apply_catalog, node, group.now),
+        }
+        yield Point(size, {key: _time_ms(run) for key, run in values.items()})
+
+
+def measure_catalog_memory() -> Iterator[Point]:
+    """Measure the memory of a catalog and its routing table."""
+    for services, servers in CATALOGS:
+        platform = Platform()
+        declare_objects(platform, services, servers, has_reports=True)
+        text = json.dumps([entry.body for entry in platform.objects.values()])
+        tracemalloc.start()
+        catalog = Catalog()
+        # A balancer decodes the bodies that it keeps.
+        bodies = json.loads(text)
+        records = [
+            Record(record.key, record.version, body)
+            for record, body in zip(
+                build_records(platform), bodies, strict=True
+            )
+        ]
+        merge_records(catalog, records)
+        table = derive_routing_table(catalog)
+        yield Point(
+            len(catalog.records),
+            {
+                'kilobytes': tracemalloc.get_traced_memory()[0] / 1000,
+                'routes': len(table.listeners),
+            },
+        )
+        tracemalloc.stop()
+
+
+def measure_flow_memory() -> Iterator[Point]:
+    """Measure the memory of flow entries, owned and copied."""
+    node = next(iter(build_group(3, *TODAY).nodes.values()))
+    for flows in (1000, 5000, 13_600, 50_000, 100_000):
+        yield Point(
+            flows,
+            {
+                'owned_kilobytes': _measure_flows(node, flows, is_owned=True),
+                'copied_kilobytes': _measure_flows(node, flows, is_owned=False),
+            },
+        )
+
+
+def measure_member_memory() -> Iterator[Point]:
+    """Measure the memory of one node's membership and slots."""
+    for size in SIZES:
+        group = build_group(size, *TODAY)
+        name = next(reversed(group.nodes))
+        node = group.nodes[name]
+        getattr(ownership, '_compute_scores').cache_clear()  # noqa: B009
+        members = [entry.membership.own for entry in group.nodes.values()]
+        tracemalloc.start()
+        kept = (
+            assign_slots(members),
+            {key: describe_member(0, 3) for key in node.membership.peers},
+            {key: monotonic() for key in node.membership.checked_at},
+        )
+        used = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        yield Point(size, {'kilobytes': used / 1000, 'kept': len(kept)})
+
+
+def measure_processes() -> Iterator[Point]:
+    """Measure real balancers against the records in the store."""
+    for services, servers in CATALOGS:
+        with run_fleet() as fleet:
+            for key, body in build_bodies(services, servers, False).items():
+                path = f'/v1/objects/{key}'
+                _put_object(fleet.store_port, path, body)
+            for index in range(3):
+                start_balancer(fleet, f'balancer-{index}', f'qc-{index + 1}')
+            wait_until_ready(fleet)
+            sleep(5)
+            ids = [
+                balancer.process.popen.pid
+                for balancer in fleet.balancers.values()
+            ]
+            before = sum(map(_read_processor_seconds, ids))
+            sleep(10)
+            cost = sum(map(_read_processor_seconds, ids)) - before
+            yield Point(
+                services + servers,
+                {
+                    'resident_megabytes': max(map(_read_resident, ids)) / 1e6,
+                    'processor_percent': 100 * cost / len(ids) / 10,
+                },
+            )
+
+
+def measure_store() -> Iterator[Point]:
+    """Count the calls of real balancers on the store against their number."""
+    for size in (3, 6, 9):
+        with run_fleet() as fleet:
+            for key, body in build_bodies(*TODAY, False).items():
+                _put_object(fleet.store_port, f'/v1/objects/{key}', body)
+            for index in range(size):
+                start_balancer(fleet, f'balancer-{index}', f'qc-{index % 3}')
+            wait_until_ready(fleet)
+            sleep(5)
+            yield Point(size, _count_calls(fleet.store_port))
+
+
+def measure_store_changes(size: int = 9) -> Iterator[Point]:
+    """Count the calls of a simulated group against changes a minute."""
+    for rate in (0, 1, 2, 5, 10):
+        group = build_group(size, *TODAY)
+        group.platform.calls.clear()
+        for index in range(rate):
+            change_object(group, index)
+            run_group(group, 60 / rate)
+        if not rate:
+            run_group(group, 60)
+        yield Point(
+            rate,
+            {
+                f'{kind}_per_minute': sum(
+                    entry.calls[kind] for entry in group.usage.values()
+                )
+                for kind in ('list', 'watch', 'write', 'vms')
+            },
+        )
+
+
+def measure_joining() -> Iterator[Point]:
+    """Measure how a node without records gets them from its peers."""
+    for services, servers in CATALOGS:
+        group = build_group(8, services, servers)
+        started_at = group.now
+        node = start_node(group, 8, is_listed=False)
+        # A reader would list from the store after a silent watch.
+        node.data_centre = 'qc-est-none'
+        wanted = services + servers
+        while len(node.catalog.records) < wanted:
+            run_group(group, 0.01)
+            if group.now > started_at + 60:
+                raise TimeoutError(f'{len(node.catalog.records)} records')
+        received = group.usage[node.name].received
+        document = [
+            {'key': entry.key, 'version': entry.version, 'body': entry.body}
+            for entry in group.platform.objects.values()
+        ]
+        yield Point(
+            wanted,
+            {
+                'seconds': group.now - started_at,
+                'received_bytes': sum(received.values()),
+                'pushed_bytes': received['RecordPush'],
+                'list_bytes': len(json.dumps(document)),
+            },
+        )
+
+
+def print_measurement(name: str) -> None:
+    """Run a measurement and print its points and fits.
+
+    Parameters
+    ----------
+    name : str
+        Key of `MEASUREMENTS`.
+    """
+    measurement = MEASUREMENTS[name]
+    points = []
+    for point in measurement.measure():
+        points.append(point)
+        values = ' '.join(
+            f'{key}={value:.5g}' for key, value in point.values.items()
+        )
+        _write(f'point={name} {measurement.scale}={point.place:g} {values}')
+    if len(points) < 3:
+        return
+    for key in points[0].values:
+        _write(fit_line(name, measurement.scale, key, points))
+
+
+def fit_line(
+    name: str,
+    scale: str,
+    key: str,
+    points: Sequence[Point],
+) -> str:
+    """Fit a straight line to one value of some points.
+
+    Parameters
+    ----------
+    name : str
+        Name of the measurement.
+    scale : str
+        What is varied.
+    key : str
+        Name of the value.
+    points : sequence of Point
+        At least two points.
+
+    Returns
+    -------
+    str
+        Line of key=value pairs.
+    """
+    places = [point.place for point in points]
+    values = [point.values[key] for point in points]
+    slope, intercept = linear_regression(places, values)
+    residual = sqrt(
+        fmean(
+            (value - intercept - slope * place) ** 2
+            for place, value in zip(places, values, strict=True)
+        )
+    )
+    return (
+        f'fit={name} value={key} scale={scale} points={len(points)} '
+        f'range={min(places):g}..{max(places):g} slope={slope:.4g} '
+        f'intercept={intercept:.4g} residual={residual:.3g}'
+    )
+
+
+def main() -> int:
+    """Print the named measurements, or all of them.
+
+    Returns
+    -------
+    int
+        Exit status: 2 if a name is unknown.
+    """
+    names = sys.argv[1:] or list(MEASUREMENTS)
+    unknown = [name for name in names if name not in MEASUREMENTS]
+    if unknown:
+        known = ', '.join(MEASUREMENTS)
+        sys.stderr.write(f'unknown: {", ".join(unknown)}; known: {known}\n')
+        return 2
+    for name in names:
+        load = os.getloadavg()[0]
+        started_at = perf_counter()
+        print_measurement(name)
+        seconds = perf_counter() - started_at
+        _write(f'done={name} seconds={seconds:.1f} load_average={load:.2f}')
+    return 0
+
+
+def _write(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+def _summarize(group: Group, seconds: float) -> dict[str, float]:
+    """Return the mean usage of a node."""
+    usages = [group.usage[name] for name in group.nodes]
+    sent = [sum(usage.sent.values()) / seconds for usage in usages]
+    received = [sum(usage.received.values()) / seconds for usage in usages]
+    costs = [usage.processor_seconds / seconds for usage in usages]
+    return {
+        'sent_bytes_per_second': fmean(sent),
+        'highest_sent_bytes_per_second': max(sent),
+        'received_bytes_per_second': fmean(received),
+        'processor_percent': 100 * fmean(costs),
+        'highest_processor_percent': 100 * max(costs),
+    }
+
+
+def _measure_events(
+    change: Callable[[Group, int], None],
+) -> Iterator[Point]:
+    """Compare 20 s after an event with 20 s without one."""
+    for size in SIZES:
+        group = build_group(size, *TODAY)
+        run_group(group, _IDLE_SECONDS)
+        idle = _summarize(group, _IDLE_SECONDS)
+        reset_usage(group)
+        change(group, size)
+        run_group(group, _IDLE_SECONDS)
+        # The usage of a joined or dead node counts for neither.
+        names = [name for name in group.nodes if name in group.usage]
+        sent = fmean(sum(group.usage[name].sent.values()) for name in names)
+        cost = fmean(group.usage[name].processor_seconds for name in names)
+        idle_bytes = idle['sent_bytes_per_second'] * _IDLE_SECONDS
+        idle_cost = idle['processor_percent'] / 100 * _IDLE_SECONDS
+        yield Point(
+            size,
+            {
+                'additional_bytes': sent - idle_bytes,
+                'additional_processor_ms': 1000 * (cost - idle_cost),
+            },
+        )
+
+
+def _fail_node(group: Group, size: int) -> None:
+    stop_node(group, next(reversed(group.nodes)))
+
+
+def _join_node(group: Group, size: int) -> None:
+    start_node(group, size)
+
+
+def _iterate_syns(node: Node) -> Iterator[Packet]:
+    """Generate SYNs of feeds whose hash slots a node owns."""
+    (address, port), route = next(
+        (key, route)
+        for key, route in node.routing.listeners.items()
+        if route.listener.name == 'feed'
+    )
+    for number in range(1 << 24):
+        caller = (10 << 24) + number
+        flow_key = build_flow_key(caller, address, 40_000, port)
+        if node.ownership.owners[get_hash_slot(flow_key)] == node.name:
+            yield Packet(
+                flow_key,
+                caller,
+                route.service.address,
+                40_000,
+                port,
+                int(TcpFlag.SYN),
+                1,
+                bytes(40),
+            )
+
+
+def _open_feed(group: Group, name: str, packet: Packet) -> None:
+    dispatch_event(group, name, PacketReceived(packet))
+    answer = Packet(
+        packet.flow_key,
+        packet.source,
+        packet.destination,
+        packet.source_port,
+        packet.destination_port,
+        int(TcpFlag.ACK),
+        2,
+        bytes(40),
+    )
+    dispatch_event(group, name, PacketReceived(answer))
+
+
+def _wait_for(group: Group, names: Any, version: int) -> float:
+    """Run until nodes have a version in force; return when that was."""
+    waiting = set(names)
+    started_at = group.now
+    while waiting:
+        run_group(group, 0.001)
+        waiting = {
+            name
+            for name in waiting
+            if group.nodes[name].catalog.highest_version < version
+        }
+        if group.now > started_at + 30:
+            raise TimeoutError(f'{len(waiting)} nodes lack {version}')
+    return group.now
+
+
+def _merge(records: tuple[Record, ...]) -> None:
+    merge_records(Catalog(), records)
+
+
+def _time_ms(run: Callable[[], object]) -> float:
+    return 1000 * min(repeat(run, number=1, repeat=9))
+
+
+def _measure_flows(node: Node, flows: int, *, is_owned: bool) -> float:
+    keys = [index.to_bytes(12) for index in range(flows)]
+    table = type(node.flows)()
+    placement = get_placement(1, is_feed=True, is_copied=True)
+    tracemalloc.start()
+    for key in keys:
+        # Each entry keeps its own key and time.
+        own_key = bytes(bytearray(key))
+        now = monotonic()
+        adopt_flow(table, own_key, placement, now)
+        if is_owned:
+            table.opened_at[own_key] = now
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return used / 1000
+
+
+def _put_object(port: int, path: str, body: object) -> None:
+    request = Request(  # noqa: S310
+        f'http://127.0.0.1:{port}{path}',
+        data=json.dumps(body).encode(),
+        method='PUT',
+        headers={'If-Match': '0'},
+    )
+    urlopen(request, timeout=5).close()  # noqa: S310
+
+
+def _count_calls(port: int) -> dict[str, float]:
+    """Count calls during half a minute, with six changes in the second."""
+    values = {}
+    for title, changes in (('idle', 0), ('changing', 6)):
+        before = exchange(port, '/counters')
+        for number in range(6):
+            if changes:
+                path = f'/v1/objects/{GROUP}/service/new-{number}'
+                body = next(iter(build_bodies(1, 0, False).values()))
+                _put_object(port, path, body)
+            sleep(5)
+        after = exchange(port, '/counters')
+        for kind in ('list', 'watch', 'write', 'conflict', 'vms'):
+            counted = after.get(kind, 0) - before.get(kind, 0)
+            values[f'{title}_{kind}_per_minute'] = counted * 2.0
+    return values
+
+
+def _read_resident(process_id: int) -> int:
+    with open(f'/proc/{process_id}/statm') as file:
+        pages = int(file.read().split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE')
+
+
+def _read_processor_seconds(process_id: int) -> float:
+    with open(f'/proc/{process_id}/stat') as file:
+        fields = file.read().rsplit(')', maxsplit=1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
+
+
+MEASUREMENTS: Final = MappingProxyType(
+    {
+        'members': Measurement('members', measure_members),
+        'records': Measurement('records', measure_records),
+        'changes': Measurement('changes_per_minute', measure_changes),
+        'failures': Measurement('members', measure_failures),
+        'joins': Measurement('members', measure_joins),
+        'reports': Measurement('backend_servers', measure_reports),
+        'hints': Measurement('vms', measure_hints),
+        'feeds': Measurement('feeds_per_second', measure_feeds),
+        'feeds_in_64': Measurement(
+            'feeds_per_second',
+            lambda: measure_feeds(64),
+        ),
+        'spread': Measurement('members', measure_spread),
+        'assignment': Measurement('members', measure_assignment),
+        'derivation': Measurement('records', measure_derivation),
+        'probes': Measurement('members', measure_probes),
+        'catalog_memory': Measurement('records', measure_catalog_memory),
+        'flow_memory': Measurement('flows', measure_flow_memory),
+        'member_memory': Measurement('members', measure_member_memory),
+        'processes': Measurement('records', measure_processes),
+        'store': Measurement('members', measure_store),
+        'store_changes': Measurement(
+            'changes_per_minute',
+            measure_store_changes,
+        ),
+        'joining': Measurement('records', measure_joining),
+        'target': Measurement('members', measure_target),
+    }
+)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/testbed/tests/test_capacity_model.py
@@ -0,0 +1,42 @@
+"""Guards against figures of capacity that come from a group out of order."""
+
+from testbed.capacity_model import build_group, change_object, run_group
+from testbed.measure_capacity import MEASUREMENTS, Point, fit_line, main
+
+
+def test_a_group_settles_and_takes_a_change_over():
+    """Idle usage is only idle once nobody lacks members or records."""
+    group = build_group(4, 2, 10)
+    assert len(group.nodes) == 4
+    for node in group.nodes.values():
+        assert len(node.membership.peers) == 3
+        assert len(node.catalog.records) == 12
+    assert all(not usage.messages for usage in group.usage.values())
+    version = change_object(group, 0)
+    run_group(group, 3)
+    for name, node in group.nodes.items():
+        assert node.catalog.highest_version == version
+        assert (
+            node.catalog.digest == group.nodes[name].membership.catalog.digest
+        )
+        assert group.usage[name].sent['Ping']
+        assert group.usage[name].processor_seconds > 0
+
+
+def test_a_fit_of_a_straight_line_has_no_residual():
+    """A wrong slope would go into every figure of the target size."""
+    points = [Point(place, {'bytes': 5 + 2 * place}) for place in (1, 2, 4)]
+    line, residual = fit_line('members', 'size', 'bytes', points).rsplit('=', 1)
+    assert line == (
+        'fit=members value=bytes scale=size points=3 range=1..4 slope=2 '
+        'intercept=5 residual'
+    )
+    assert float(residual) < 1e-9
+
+
+def test_an_unknown_name_is_refused(monkeypatch, capsys):
+    """A mistyped name must not look like a measurement without output."""
+    monkeypatch.setattr('sys.argv', ['measure_capacity', 'member'])
+    assert main() == 2
+    message = capsys.readouterr().err
+    assert all(name in message for name in MEASUREMENTS)
