Keep OpenSSL out of the balancer process

Real balancers took 65.3 MB with 12 records and 67.1 MB with 100, over the 64 MB that they may use. Twisted's reactor imports OpenSSL wherever it is installed, for example by a development tool; leaving out treq did not prevent that. Ruled out: the records (1.9 KB each in one process).

The command that runs a balancer now makes this import fail, which Twisted handles. Store addresses, load reports and the metrics port are plain HTTP, which the checks of the settings enforce.

The new test fails without the change.

--- a/balsamshed/commands/running.py
+++ b/balsamshed/commands/running.py
@@ -2,6 +2,7 @@
 
 import sys
 from importlib import import_module
+from types import ModuleType
 
 from balsamshed.commands.statuses import ExitStatus
 from balsamshed.findings import format_findings
@@ -24,11 +25,22 @@
     settings = read_settings(file)
     if isinstance(settings, SettingsRejection):
         return show_findings(settings)
+    _exclude_openssl()
     # Sockets and the reactor are loaded only once the settings are good.
     process = import_module('balsamshed.front_ends.process')
     return int(process.run_balancer(settings) or ExitStatus.DONE)
 
 
+def _exclude_openssl() -> None:
+    """Let Twisted's attempt to import OpenSSL fail.
+
+    It loads OpenSSL wherever that is installed: 13 MB of the 64 MB that a
+    balancer may use. A balancer speaks plain HTTP only.
+    """
+    modules: dict[str, ModuleType | None] = sys.modules  # type: ignore
+    modules.setdefault('OpenSSL', None)
+
+
 def show_findings(rejection: SettingsRejection) -> int:
     """Write the findings of a settings file to standard error."""
     text = format_findings(rejection.file, rejection.findings)
--- a/balsamshed/commands/tests/test_program.py
+++ b/balsamshed/commands/tests/test_program.py
@@ -182,3 +182,24 @@
         'assert not heavy & set(sys.modules), heavy & set(sys.modules)\n'
     )
     subprocess.run((sys.executable, '-c', program), check=True, timeout=20)
+
+
+def test_run_does_not_load_openssl(settings_file):
+    """It takes 13 MB of a balancer's 64 MB, and nothing in it speaks TLS."""
+    program = (
+        'import sys\n'
+        'from importlib import import_module\n'
+        'from unittest.mock import patch\n'
+        'from balsamshed.commands import running\n'
+        'def load(name):\n'
+        '    process = import_module(name)\n'
+        '    process.run_balancer = lambda settings: 0\n'
+        '    return process\n'
+        'with patch.object(running, "import_module", load):\n'
+        f'    assert running.run_process({settings_file!r}) == 0\n'
+        'assert "twisted.internet.reactor" in sys.modules\n'
+        'loaded = {name.split(".")[0] for name, module in sys.modules.items()\n'
+        '          if module is not None}\n'
+        'assert not {"OpenSSL", "cryptography"} & loaded\n'
+    )
+    subprocess.run((sys.executable, '-c', program), check=True, timeout=20)
