--- /dev/null
+++ b/testbed/configuration.py
@@ -0,0 +1,265 @@
+"""Looks at configuration from outside: store, logs and status objects."""
+
+import json
+from collections.abc import Iterable, Iterator, Mapping
+from contextlib import contextmanager
+from datetime import datetime
+from http import HTTPStatus
+from typing import Any, Final
+from urllib.error import HTTPError
+from urllib.request import Request, urlopen
+
+from balsamshed.logs.lines import parse_line
+from testbed.fleet import (
+    GROUP,
+    HTTP_SECONDS,
+    REQUEST_PORT,
+    Balancer,
+    Fleet,
+    ServicePlan,
+    exchange,
+    run_fleet,
+    start_balancer,
+)
+from testbed.processes import kill_process, wait_until
+
+#: Bound of G8 for every reachable balancer, in seconds.
+IN_FORCE_SECONDS: Final = 5.0
+
+# A version that is late is still waited for, so that its time is known.
+_WAIT_SECONDS: Final = 10.0
+
+#: Faults of the platform that are over.
+NO_FAULTS: Final[Mapping[str, object]] = {
+    'outage': False,
+    'delay_ms': 0,
+    'lose_write_responses': 0,
+    'stale_reads': False,
+    'silent_watches': False,
+    'compacted': False,
+}
+
+
+@contextmanager
+def run_balancers(places: Iterable[tuple[str, str]]) -> Iterator[Fleet]:
+    """Run a platform, a fabric and balancers; they are killed at the end.
+
+    Parameters
+    ----------
+    places : iterable of (str, str)
+        Name and data centre of each balancer.
+
+    Yields
+    ------
+    Fleet
+        The balancers may not be ready yet.
+    """
+    with run_fleet() as fleet:
+        for name, data_centre in places:
+            start_balancer(fleet, name, data_centre)
+        try:
+            yield fleet
+        finally:
+            # A graceful stop takes two seconds for each balancer.
+            for balancer in fleet.balancers.values():
+                kill_process(balancer.process)
+
+
+def set_faults(fleet: Fleet, **changes: object) -> None:
+    """Change faults of the platform."""
+    exchange(fleet.store_port, '/faults', 'POST', changes)
+
+
+def write_directly(
+    fleet: Fleet,
+    key: str,
+    body: object,
+    version: int | None = None,
+    group: str = GROUP,
+) -> int:
+    """Write an object past the command line.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The store to use.
+    key : str
+        Key without the group.
+    body : object
+        JSON document.
+    version : int, optional
+        Version to replace; the current one if left out.
+    group : str
+        Group of the object.
+
+    Returns
+    -------
+    int
+        The new version.
+    """
+    if version is None:
+        version = read_object(fleet, key).get('version', 0)
+    request = Request(  # noqa: S310
+        f'{fleet.store_url}/v1/objects/{group}/{key}',
+        data=json.dumps(body).encode(),
+        method='PUT',
+        headers={'If-Match': str(version)},
+    )
+    with urlopen(request, timeout=HTTP_SECONDS) as response:
+        return int(json.loads(response.read())['version'])
+
+
+def read_object(fleet: Fleet, key: str) -> dict[str, Any]:
+    """Return an object of the group with its version, empty if missing."""
+    try:
+        found = exchange(fleet.store_port, f'/v1/objects/{GROUP}/{key}')
+    except HTTPError as error:
+        if error.code == HTTPStatus.NOT_FOUND:
+            return {}
+        raise
+    return dict(found)
+
+
+def edit_spec(fleet: Fleet, key: str, **changes: object) -> int:
+    """Change fields of an object's specification past the command line.
+
+    Returns
+    -------
+    int
+        The new version.
+    """
+    known = read_object(fleet, key)
+    spec = {**known['body']['spec'], **changes}
+    return write_directly(
+        fleet,
+        key,
+        {**known['body'], 'spec': spec},
+        known['version'],
+    )
+
+
+def read_status(fleet: Fleet, data_centre: str) -> dict[str, Any]:
+    """Return the status of a data centre, empty if there is none."""
+    found = read_object(fleet, f'status/{data_centre}')
+    return dict(found['body']['spec']) if found else {}
+
+
+def list_log(balancer: Balancer, event: str) -> list[dict[str, str]]:
+    """Return the log lines of an event, oldest first."""
+    text = balancer.process.error_path.read_text(errors='replace')
+    # The last line may not be complete yet.
+    lines = text[: text.rfind('\n') + 1].splitlines()
+    marked = (line for line in lines if f' event={event}' in line)
+    return [parse_line(line) for line in marked]
+
+
+def find_in_force(balancer: Balancer, version: int) -> float | None:
+    """Return when a version came into force on a balancer.
+
+    Parameters
+    ----------
+    balancer : Balancer
+        Its log is read.
+    version : int
+        Version that the store gave to a write.
+
+    Returns
+    -------
+    float or None
+        Seconds since the Unix epoch.
+    """
+    for line in list_log(balancer, 'record_in_force'):
+        if line['version'] == str(version):
+            return datetime.fromisoformat(line['time']).timestamp()
+    return None
+
+
+def measure_in_force(
+    balancers: Iterable[Balancer],
+    version: int,
+    accepted_at: float,
+    seconds: float = _WAIT_SECONDS,
+) -> float:
+    """Wait until a version is in force on balancers.
+
+    Parameters
+    ----------
+    balancers : iterable of Balancer
+        Balancers that have to apply it.
+    version : int
+        Version that the store gave to a write.
+    accepted_at : float
+        When the write was accepted, in seconds since the Unix epoch.
+    seconds : float
+        Longest wait.
+
+    Returns
+    -------
+    float
+        Seconds until the last balancer had it in force.
+
+    Raises
+    ------
+    TimeoutError
+        If it is not in force in time.
+    """
+    waiting = tuple(balancers)
+
+    def is_everywhere() -> bool:
+        return all(
+            find_in_force(balancer, version) is not None for balancer in waiting
+        )
+
+    wait_until(is_everywhere, f'version {version} in force', seconds)
+    return max(
+        (find_in_force(balancer, version) or 0) - accepted_at
+        for balancer in waiting
+    )
+
+
+def count_reverts(balancers: Iterable[Balancer]) -> int:
+    """Count records that came into force after a newer version of theirs."""
+    reverts = 0
+    for balancer in balancers:
+        newest: dict[str, int] = {}
+        for line in list_log(balancer, 'record_in_force'):
+            key, version = line['key'], int(line['version'])
+            reverts += version <= newest.get(key, 0)
+            newest[key] = max(version, newest.get(key, 0))
+    return reverts
+
+
+def declare_without_servers(fleet: Fleet, *plans: ServicePlan) -> None:
+    """Declare services whose backend servers do not run.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The store to use.
+    *plans : ServicePlan
+        The services.
+    """
+    for plan in plans:
+        listeners = [
+            {
+                'name': 'requests',
+                'port': REQUEST_PORT,
+                'kind': 'request',
+                'work_class': plan.work_class,
+            },
+        ]
+        spec: dict[str, object] = {
+            'customer': 'buanderie',
+            'address': plan.address,
+            'listeners': listeners,
+        }
+        write_directly(fleet, f'service/{plan.name}', {'spec': spec}, 0)
+        for position in range(1, plan.endpoints + 1):
+            spec = {
+                'service': plan.name,
+                'host': f'{plan.network}.{position}',
+                'data_centre': 'qc-1',
+                'slots': plan.slots,
+            }
+            key = f'backend_server/{plan.name}-{position}'
+            write_directly(fleet, key, {'spec': spec}, 0)
--- /dev/null
+++ b/testbed/tests/test_configuration_failures.py
@@ -0,0 +1,349 @@
+"""G8: an accepted configuration is in force within 5 s and never reverts."""
+
+import time
+
+import pytest
+
+from testbed.configuration import (
+    IN_FORCE_SECONDS,
+    NO_FAULTS,
+    count_reverts,
+    declare_without_servers,
+    edit_spec,
+    find_in_force,
+    list_log,
+    measure_in_force,
+    read_object,
+    read_status,
+    run_balancers,
+    set_faults,
+    write_directly,
+)
+from testbed.fleet import (
+    CRENEAU,
+    GROUP,
+    REGISTRE,
+    exchange,
+    read_metric,
+    start_balancer,
+    wait_until_ready,
+)
+from testbed.processes import (
+    kill_process,
+    pause_process,
+    resume_process,
+    wait_until,
+)
+
+# One member of qc-1 does not read the store and depends on its peers.
+PLACES = (
+    ('lb-1', 'qc-1'),
+    ('lb-2', 'qc-1'),
+    ('lb-3', 'qc-2'),
+    ('lb-4', 'qc-2'),
+    ('lb-5', 'qc-1'),
+)
+VERSION_METRIC = 'balsamshed_catalog_highest_version'
+SERVER = 'backend_server/creneau-1'
+
+
+def declare(fleet):
+    declare_without_servers(fleet, CRENEAU, REGISTRE)
+
+
+@pytest.fixture(scope='module')
+def shared_fleet():
+    with run_balancers(PLACES) as fleet:
+        declare(fleet)
+        wait_until_ready(fleet)
+        yield fleet
+
+
+@pytest.fixture
+def fleet(shared_fleet):
+    """Lend the shared fleet; all versions of a test are in force after it."""
+    yield shared_fleet
+    set_faults(shared_fleet, **NO_FAULTS)
+    for balancer in shared_fleet.balancers.values():
+        resume_process(balancer.process)
+    change(shared_fleet, shared_fleet.balancers.values())
+    assert count_reverts(shared_fleet.balancers.values()) == 0
+    wait_until_ready(shared_fleet)
+
+
+def change(fleet, balancers, bound=IN_FORCE_SECONDS):
+    """Change an object and check that it is in force in time."""
+    slots = read_object(fleet, SERVER)['body']['spec']['slots']
+    version = edit_spec(fleet, SERVER, slots=slots + 1)
+    assert measure_in_force(balancers, version, time.time()) <= bound
+    return version
+
+
+def change_elsewhere(fleet):
+    """Raise the store's revision by an object of another group."""
+    name = f'service/x{time.monotonic_ns()}'
+    write_directly(fleet, name, {'spec': {}}, 0, group='other')
+
+
+def count_calls(fleet, *kinds):
+    counters = exchange(fleet.store_port, '/counters')
+    return sum(counters.get(kind, 0) for kind in kinds)
+
+
+def wait_until_settled(fleet, version):
+    """Wait until no status will be written for the time being."""
+    wait_until(
+        lambda: all(
+            (status := read_status(fleet, place)).get('members')
+            == len(fleet.balancers)
+            and status['highest_version'] == version
+            and not status['lagging']
+            and not status['rejected']
+            for place in ('qc-1', 'qc-2')
+        ),
+        f'settled status of version {version}',
+    )
+
+
+def wait_for_metric(balancers, version):
+    wait_until(
+        lambda: all(
+            read_metric(balancer, VERSION_METRIC) >= version
+            for balancer in balancers
+        ),
+        f'metrics show version {version}',
+        2,
+    )
+
+
+def test_change_is_in_force_with_silent_watches(fleet):
+    """Guards against a reader that waits for a watch that went silent."""
+    set_faults(fleet, silent_watches=True)
+    balancers = fleet.balancers.values()
+    wait_for_metric(balancers, change(fleet, balancers))
+
+
+def test_change_is_in_force_with_one_killed_and_one_paused():
+    """Guards against a change that depends on one reader of a data centre."""
+    with run_balancers(PLACES) as fleet:
+        declare(fleet)
+        wait_until_ready(fleet)
+        wait_until(lambda: read_status(fleet, 'qc-1'), 'status of qc-1')
+        # The readers that write the status are also the first to read.
+        killed = fleet.balancers.pop(read_status(fleet, 'qc-1')['summarizer'])
+        wait_until(lambda: read_status(fleet, 'qc-2'), 'status of qc-2')
+        paused = fleet.balancers[read_status(fleet, 'qc-2')['summarizer']]
+        kill_process(killed.process)
+        pause_process(paused.process)
+        running = [
+            balancer
+            for balancer in fleet.balancers.values()
+            if balancer is not paused
+        ]
+        version = change(fleet, running)
+        resume_process(paused.process)
+        resumed_at = time.time()
+        took = measure_in_force([paused], version, resumed_at)
+        assert took <= IN_FORCE_SECONDS
+        wait_for_metric(fleet.balancers.values(), version)
+        assert count_reverts(fleet.balancers.values()) == 0
+
+
+def test_nothing_reverts_in_an_outage_and_recovery_is_fast(fleet):
+    """Guards against records that lapse while the store is down, and against
+    a back-off that outlasts the bound."""
+    balancers = fleet.balancers.values()
+    version = change(fleet, balancers)
+    wait_for_metric(balancers, version)
+    set_faults(fleet, outage=True)
+    end = time.monotonic() + 4
+    wait_until(
+        lambda: (
+            time.monotonic() > end
+            or any(
+                read_metric(balancer, VERSION_METRIC) < version
+                for balancer in balancers
+            )
+        ),
+        'the end of the outage',
+    )
+    assert time.monotonic() > end
+    set_faults(fleet, outage=False)
+    change(fleet, balancers)
+
+
+def test_balancer_that_starts_in_an_outage_learns_from_peers():
+    """Guards against a balancer that needs the store to start."""
+    with run_balancers(PLACES[:2]) as fleet:
+        declare(fleet)
+        wait_until_ready(fleet)
+        version = change(fleet, fleet.balancers.values())
+        set_faults(fleet, outage=True)
+        started_at = time.time()
+        late = start_balancer(fleet, 'lb-3', 'qc-2')
+        # The time includes the start of the process.
+        took = measure_in_force([late], version, started_at)
+        assert took <= IN_FORCE_SECONDS
+        wait_until_ready(fleet)
+        assert read_metric(late, VERSION_METRIC) == version
+        assert count_reverts(fleet.balancers.values()) == 0
+
+
+def test_stale_reads_bring_nothing_back():
+    """Guards against a lagging replica, also for a balancer that starts."""
+    with run_balancers(PLACES[:3]) as fleet:
+        declare(fleet)
+        wait_until_ready(fleet)
+        set_faults(fleet, stale_reads=True)
+        spec = read_object(fleet, SERVER)
+        body = {**spec['body'], 'spec': {**spec['body']['spec'], 'slots': 9}}
+        version = write_directly(fleet, SERVER, body, spec['version'])
+        took = measure_in_force(fleet.balancers.values(), version, time.time())
+        assert took <= IN_FORCE_SECONDS
+        late = start_balancer(fleet, 'lb-4', 'qc-2')
+        took = measure_in_force([late], version, time.time())
+        assert took <= IN_FORCE_SECONDS
+        # Every reader reads the old list now, and finds its watch too old.
+        before = count_calls(fleet, 'list')
+        change_elsewhere(fleet)
+        set_faults(fleet, outage=True)
+        set_faults(fleet, outage=False, compacted=True)
+        wait_until(
+            lambda: count_calls(fleet, 'list') > before + 3,
+            'lists from the lagging replica',
+        )
+        balancers = fleet.balancers.values()
+        wait_for_metric(balancers, version)
+        assert count_reverts(balancers) == 0
+
+
+def test_lagging_replica_is_not_flooded(fleet):
+    """Guards against lists without a pause while each watch is too old."""
+    set_faults(fleet, stale_reads=True)
+    change_elsewhere(fleet)
+    set_faults(fleet, outage=True)
+    set_faults(fleet, outage=False, compacted=True)
+    before = count_calls(fleet, 'list', 'watch')
+    end = time.monotonic() + 2
+    wait_until(lambda: time.monotonic() > end, 'two seconds')
+    calls = count_calls(fleet, 'list', 'watch') - before
+    # Four readers, each with waits of at least 0.1, 0.2, 0.4, 0.8 and 1 s.
+    assert 4 < calls <= 4 * 12
+
+
+def test_first_watch_after_a_gap_lists_again(fleet):
+    """Guards against changes that fell out of the store's history."""
+    balancers = fleet.balancers.values()
+    change(fleet, balancers)
+    before = count_calls(fleet, 'list')
+    change_elsewhere(fleet)
+    set_faults(fleet, outage=True)
+    set_faults(fleet, outage=False, compacted=True)
+    change(fleet, balancers)
+    assert count_calls(fleet, 'list') > before
+
+
+def test_status_names_a_lagging_balancer_and_clears(fleet):
+    """Guards against a balancer that lacks a version without notice."""
+    balancers = fleet.balancers
+    wait_until_settled(fleet, change(fleet, balancers.values()))
+
+    def list_lagging():
+        return {
+            entry['member']: entry
+            for place in ('qc-1', 'qc-2')
+            for entry in read_status(fleet, place).get('lagging', ())
+        }
+
+    summarizers = {
+        read_status(fleet, place)['summarizer'] for place in ('qc-1', 'qc-2')
+    }
+    slow = next(
+        balancer
+        for name, balancer in balancers.items()
+        if name not in summarizers
+    )
+    # The status is written at most once per second.
+    start = time.monotonic()
+    wait_until(lambda: time.monotonic() > start + 1, 'one second')
+    paused_at = time.time()
+    pause_process(slow.process)
+    version = edit_spec(fleet, SERVER, slots=77)
+    wait_until(lambda: slow.name in list_lagging(), 'status names it')
+    named = list_lagging()[slow.name]
+    assert paused_at - 0.2 <= named['since'] <= time.time()
+    assert named['highest_version'] < version
+    resume_process(slow.process)
+    wait_until(lambda: not list_lagging(), 'status is clear again')
+    assert find_in_force(slow, version) is not None
+
+
+def test_status_is_right_after_a_stand_in_wrote_it(fleet):
+    """Guards against a status that a stand-in wrote while the first reader
+    was paused, and that stays wrong after it is back."""
+
+    def get_members():
+        return read_status(fleet, 'qc-1')['members']
+
+    count = len(fleet.balancers)
+    wait_until_settled(fleet, change(fleet, fleet.balancers.values()))
+    first = read_status(fleet, 'qc-1')['summarizer']
+    pause_process(fleet.balancers[first].process)
+    wait_until(lambda: get_members() == count - 1, 'stand-in wrote', 8)
+    resume_process(fleet.balancers[first].process)
+    wait_until(lambda: get_members() == count, 'status of all members', 5)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        {'spec': {'service': 'creneau', 'slots': 0}},
+        {'spec': [1]},
+        {'spec': {'service': 'creneau', 'note': 'x' * 200_000}},
+    ],
+    ids=['wrong_fields', 'no_object', 'larger_than_a_datagram'],
+)
+def test_faulty_object_is_shown_and_not_applied(fleet, body):
+    """Guards against an object that was written past the command line: it
+    must not be applied, must be shown, and must not hold up other changes."""
+    balancers = fleet.balancers.values()
+    key = 'backend_server/creneau-3'
+    good = read_object(fleet, key)
+    version = write_directly(fleet, key, body)
+
+    def list_rejected(place):
+        return {
+            entry['key']: entry
+            for entry in read_status(fleet, place).get('rejected', ())
+        }
+
+    for place in ('qc-1', 'qc-2'):
+        wait_until(
+            lambda place=place: (
+                list_rejected(place).get(f'{GROUP}/{key}', {}).get('version')
+                == version
+            ),
+            f'status of {place} shows the object',
+            IN_FORCE_SECONDS,
+        )
+        assert list_rejected(place)[f'{GROUP}/{key}']['findings']
+    wait_until(
+        lambda: all(
+            read_metric(balancer, 'balsamshed_records_rejected') == 1
+            for balancer in balancers
+        ),
+        'every balancer rejects it',
+        IN_FORCE_SECONDS,
+    )
+    change(fleet, balancers)
+    for balancer in balancers:
+        assert find_in_force(balancer, version) is None
+        assert list_log(balancer, 'record_rejected')
+    version = write_directly(fleet, key, good['body'])
+    took = measure_in_force(balancers, version, time.time())
+    assert took <= IN_FORCE_SECONDS
+    wait_until(
+        lambda: not list_rejected('qc-1') and not list_rejected('qc-2'),
+        'status is clear again',
+        IN_FORCE_SECONDS,
+    )
