Count control traffic in the metrics

Cause: the peer port kept its bytes in attributes that nothing read, so balsamshed_control_bytes_total stayed 0. Ruled out: a wrong label in the query; the event names of the counter were never counted outside of tests. Change: the peer port counts each datagram under these names.

--- a/balsamshed/front_ends/peer_port.py
+++ b/balsamshed/front_ends/peer_port.py
@@ -1,5 +1,6 @@
 """Control port: peer messages."""
 
+from collections.abc import Callable
 from typing import Final
 
 from twisted.internet.protocol import DatagramProtocol
@@ -31,24 +32,28 @@
         Takes events.
     count : callable
         Counts datagrams that are dropped.
-
-    Attributes
-    ----------
-    sent_bytes, received_bytes : int
-        Control traffic with its headers.
+    count_bytes : callable
+        ``count_bytes(name, amount)`` counts control traffic with its headers
+        as ``control_bytes_sent`` and ``control_bytes_received``.
     """
 
-    def __init__(self, key: bytes, sink: EventSink, count: Count) -> None:
+    def __init__(
+        self,
+        key: bytes,
+        sink: EventSink,
+        count: Count,
+        count_bytes: Callable[[str, int], None],
+    ) -> None:
         """Keep the functions that the socket calls."""
         self._key = key
         self._sink = sink
         self._count = count
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self._count_bytes = count_bytes
 
     def datagramReceived(self, datagram: bytes, addr: Address) -> None:
         """Decode a datagram and pass it on as an event."""
-        self.received_bytes += len(datagram) + HEADER_BYTES
+        size = len(datagram) + HEADER_BYTES
+        self._count_bytes('control_bytes_received', size)
         envelope = decode_envelope(datagram, self._key)
         if isinstance(envelope, DecodeFault):
             self._count(f'peer_message_{envelope.reason}')
@@ -63,7 +68,7 @@
             # One message that is too large must not stop the others.
             self._count('peer_message_too_large')
             return
-        self.sent_bytes += len(datagram) + HEADER_BYTES
+        self._count_bytes('control_bytes_sent', len(datagram) + HEADER_BYTES)
         try:
             self.transport.write(datagram, address)
         except OSError:
--- a/balsamshed/front_ends/process.py
+++ b/balsamshed/front_ends/process.py
@@ -140,7 +140,12 @@
         )
 
     data_port = DataPort(fabric, is_peer, sink, count)
-    peer_port = PeerPort(settings.peer_key, sink, count)
+    peer_port = PeerPort(
+        settings.peer_key,
+        sink,
+        count,
+        metrics.count_event,
+    )
     performers.update(
         create_packet_performers(data_port, fabric, find_data_address, count),
     )
