Write audit objects until the store has them

Cause: a reader wrote the audit objects of a change once, when it learned of the change. A write that failed was never made again, and after 16 more changes the object itself no longer has the entry. A reader that starts wrote the objects of its whole group at once. Ruled out: the other data centre's reader writes them; in an outage its write fails as well. Change: a queue keeps the objects until the store confirms or refuses them as existing, tries again after 5 s and writes four in a tick at most. Conclusion: an outage delays an audit object but does not lose it while one of the first readers that saw the change lives.

--- a/balsamshed/node/records.py
+++ b/balsamshed/node/records.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import Any, Final
 
+from balsamshed.audit.queue import queue_objects
 from balsamshed.audit.trail import build_audit_records
 from balsamshed.configuration.catalog import (
     Record,
@@ -34,7 +35,6 @@
     Effect,
     LogEvent,
     SendPeerMessage,
-    WriteRecord,
 )
 from balsamshed.node.state import Node
 from balsamshed.placement.board import observe_servers
@@ -67,17 +67,18 @@
     Returns
     -------
     tuple of Effect
-        Messages to other members, log lines and audit objects.
+        Messages to other members and log lines.
     """
     known = {key: entry.version for key, entry in node.catalog.records.items()}
     taken = merge_records(node.catalog, records)
     if not taken:
         return ()
     apply_catalog(node, now)
+    if is_first_reader(node):
+        _queue_audit(node, taken, known)
     return (
         *(_describe_record(node, record) for record in taken),
         *_spread(node, taken),
-        *_write_audit(node, taken, known),
     )
 
 
@@ -229,15 +230,12 @@
     ]
 
 
-def _write_audit(
+def _queue_audit(
     node: Node,
     records: tuple[Record, ...],
     known: dict[str, int],
-) -> list[WriteRecord]:
-    if not is_first_reader(node):
-        return []
-    return [
-        WriteRecord(entry.key, entry.body, 0)
-        for record in records
-        for entry in build_audit_records(record, known.get(record.key, 0))
-    ]
+) -> None:
+    for record in records:
+        known_version = known.get(record.key, 0)
+        objects = build_audit_records(record, known_version)
+        queue_objects(node.audit, objects)
--- a/balsamshed/node/state.py
+++ b/balsamshed/node/state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+from balsamshed.audit.queue import AuditQueue
 from balsamshed.configuration.catalog import Catalog, derive_routing_table
 from balsamshed.configuration.resources import BackendServer
 from balsamshed.configuration.routing import RoutingTable
@@ -73,6 +74,8 @@
         Work classes refused because the node itself is short of time.
     session : StoreSession
         Use of the object store.
+    audit : AuditQueue
+        Audit objects that the store has not confirmed yet.
     fleet : FleetStatus
         What this node knows about the others' configuration.
     wanted_probes : tuple of BackendServer
@@ -107,6 +110,7 @@
     session: StoreSession
     fleet: FleetStatus
     overload: OverloadState
+    audit: AuditQueue = field(default_factory=AuditQueue)
     view_version: int = -1
     reachable: frozenset[str] = frozenset()
     handoff: Iterator[tuple[bytes, Placement]] = field(
--- a/balsamshed/node/store.py
+++ b/balsamshed/node/store.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from balsamshed.audit.queue import settle_object
 from balsamshed.configuration.catalog import Record
 from balsamshed.members.membership import add_hints
 from balsamshed.node.effects import CountEvent, Effect, LogEvent
@@ -52,7 +53,8 @@
 
 
 def handle_written(node: Node, event: RecordWritten, now: float) -> Effects:
-    """Note that a status object was written."""
+    """Note that a status or audit object was written."""
+    settle_object(node.audit, event.key)
     if event.key == _get_status_key(node):
         note_written(node.fleet, event.version)
     return ()
@@ -64,6 +66,7 @@
     now: float,
 ) -> Effects:
     """Follow the version that another reader wrote."""
+    settle_object(node.audit, event.key)
     if event.key == _get_status_key(node):
         note_conflict(node.fleet, event.version)
     return ()
--- /dev/null
+++ b/balsamshed/node/tests/test_audit.py
@@ -0,0 +1,77 @@
+"""Guards against a change that leaves no audit object."""
+
+from balsamshed.audit.queue import RETRY_SECONDS
+from balsamshed.configuration.catalog import Record
+from balsamshed.members.member import Member
+from balsamshed.node.dispatch import handle_event
+from balsamshed.node.effects import WriteRecord
+from balsamshed.node.events import (
+    RecordsListed,
+    RecordWritten,
+    StoreFailed,
+    Ticked,
+    WriteConflicted,
+)
+from balsamshed.node.state import create_node
+
+CHANGE = {
+    'change_id': 'c1',
+    'who': 'w',
+    'when': '2026-12-04T20:00:00Z',
+    'from_version': 0,
+    'action': 'drain',
+}
+
+
+def make_node():
+    own = Member('n1', 'a', '127.0.0.1', 1, 2)
+    return create_node(own, 'g', (), lambda limit: 0, 0, 1e9)
+
+
+def list_audit_writes(effects):
+    return [
+        effect.key
+        for effect in effects
+        if isinstance(effect, WriteRecord) and '/audit/' in effect.key
+    ]
+
+
+def tick(node, now):
+    return list_audit_writes(handle_event(node, Ticked(1e9 + now, 0), now))
+
+
+def list_records(node, count):
+    records = tuple(
+        Record(f'g/service/s{number}', number, {'changes': [CHANGE]})
+        for number in range(1, count + 1)
+    )
+    handle_event(node, RecordsListed(count, records), 0)
+
+
+def test_failed_write_is_made_again_until_the_store_has_the_object():
+    """After 16 more changes the object itself no longer has the entry."""
+    node = make_node()
+    list_records(node, 1)
+    key = 'g/audit/service.s1.1'
+    assert tick(node, 1) == [key]
+    handle_event(node, StoreFailed('write', 'outage'), 1)
+    assert tick(node, 2) == []
+    assert tick(node, 1 + RETRY_SECONDS) == [key]
+    # The response of the first write was lost.
+    handle_event(node, WriteConflicted(key, 9), 7)
+    assert tick(node, 20) == []
+
+
+def test_first_list_does_not_flood_the_store():
+    """A reader that starts knows no audit object of its group."""
+    node = make_node()
+    list_records(node, 30)
+    written = []
+    for number in range(10):
+        keys = tick(node, 1 + number / 10)
+        assert len(keys) <= 5
+        written.extend(keys)
+        for key in keys:
+            handle_event(node, RecordWritten(key, 99), 1 + number / 10)
+    assert sorted(set(written)) == sorted(written)
+    assert len(written) == 30
--- a/balsamshed/node/upkeep.py
+++ b/balsamshed/node/upkeep.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from typing import Final
 
+from balsamshed.audit.queue import take_due
 from balsamshed.flows.copies import is_settled, take_batches
 from balsamshed.flows.table import (
     UNANSWERED_SECONDS,
@@ -61,6 +62,9 @@
 #: Members for which reports are sent each second.
 REPORT_MEMBERS_PER_SECOND: Final = 16
 
+#: Audit objects written in one tick: at most 80 per second.
+AUDIT_WRITES: Final = 4
+
 _PROBE_SECONDS: Final = 0.5
 _CANDIDATES_SECONDS: Final = 0.25
 _STATUS_SECONDS: Final = 0.25
@@ -97,6 +101,7 @@
     effects.extend(_send_copies(node, now))
     effects.extend(_call_store(node, now))
     effects.extend(_write_status(node, now))
+    effects.extend(_write_audit(node, now))
     effects.extend(_probe_load(node, now))
     if node.is_leaving:
         effects.extend(_finish_leaving(node, now))
@@ -244,6 +249,13 @@
     return [WriteRecord(key, body, node.fleet.version)]
 
 
+def _write_audit(node: Node, now: float) -> list[Effect]:
+    return [
+        WriteRecord(entry.key, entry.body, 0)
+        for entry in take_due(node.audit, AUDIT_WRITES, now)
+    ]
+
+
 def _probe_load(node: Node, now: float) -> list[Effect]:
     effects: list[Effect] = []
     if _is_due(node, 'probes', now, _PROBE_SECONDS):
