--- /dev/null
+++ b/testbed/measure_configuration.py
@@ -0,0 +1,248 @@
+"""Measures how fast configuration comes into force, with its cost.
+
+``python -m testbed.measure_configuration`` prints the figures.
+"""
+
+import sys
+import time
+from collections.abc import Iterator
+from datetime import UTC, datetime
+from typing import Final
+
+from testbed.configuration import (
+    IN_FORCE_SECONDS,
+    count_reverts,
+    declare_without_servers,
+    edit_spec,
+    list_log,
+    measure_in_force,
+    read_object,
+    read_status,
+    run_balancers,
+    set_faults,
+)
+from testbed.figures import Figure, format_figure
+from testbed.fleet import (
+    CRENEAU,
+    REGISTRE,
+    Fleet,
+    exchange,
+    read_metric,
+    wait_until_ready,
+)
+from testbed.processes import kill_process, wait_until
+
+#: Balancers; one of qc-1 does not read the store.
+PLACES: Final = (
+    ('lb-1', 'qc-1'),
+    ('lb-2', 'qc-1'),
+    ('lb-3', 'qc-2'),
+    ('lb-4', 'qc-2'),
+    ('lb-5', 'qc-1'),
+)
+#: Changes for each figure.
+CHANGES: Final = 5
+#: Long enough for the longest back-off of a reader.
+OUTAGE_SECONDS: Final = 12.0
+#: Time over which traffic is counted.
+TRAFFIC_SECONDS: Final = 10.0
+#: Bound of G6 and of the detection of a death, in seconds.
+LEAVING_SECONDS: Final = 3.0
+#: Budget for control traffic of a balancer (section 1.5).
+CONTROL_BYTES: Final = 5000
+#: 2,000 reads per second over 172 groups (section 2.2).
+STORE_CALLS: Final = 11
+#: 18,000 changes per day, each with 100 calls, make 21 calls per second.
+STORE_CALLS_FOR_CHANGE: Final = 100
+
+_KEY: Final = 'backend_server/creneau-1'
+_QUIET_LEAD_SECONDS: Final = 2.0
+
+
+def list_figures() -> Iterator[Figure]:
+    """Measure and return the figures, one after the other.
+
+    Yields
+    ------
+    Figure
+        A measured quantity with its bound.
+    """
+    with run_balancers(PLACES) as fleet:
+        declare_without_servers(fleet, CRENEAU, REGISTRE)
+        wait_until_ready(fleet)
+        balancers = tuple(fleet.balancers.values())
+        yield _measure_changes(fleet, 'config_in_force_seconds', CHANGES)
+        yield from _measure_traffic(fleet)
+        set_faults(fleet, silent_watches=True)
+        name = 'config_in_force_with_silent_watches_seconds'
+        yield _measure_changes(fleet, name, 2)
+        set_faults(fleet, silent_watches=False)
+        yield from _measure_death(fleet)
+        yield from _measure_outage(fleet)
+        taken = sum(
+            len(list_log(balancer, 'record_in_force')) for balancer in balancers
+        )
+        reverts = count_reverts(balancers)
+        yield Figure('config_reverts', reverts, taken, 0, 'records')
+
+
+def print_figures() -> int:
+    """Print the figures.
+
+    Returns
+    -------
+    int
+        Exit status, 1 if a bound does not hold.
+    """
+    is_good = True
+    for figure in list_figures():
+        sys.stdout.write(f'{format_figure(figure)}\n')
+        sys.stdout.flush()
+        is_good = is_good and figure.is_good
+    return int(not is_good)
+
+
+def _change(fleet: Fleet) -> float:
+    slots = read_object(fleet, _KEY)['body']['spec']['slots']
+    version = edit_spec(fleet, _KEY, slots=slots + 1)
+    return measure_in_force(fleet.balancers.values(), version, time.time())
+
+
+def _measure_changes(fleet: Fleet, name: str, changes: int) -> Figure:
+    longest = max(_change(fleet) for _ in range(changes))
+    count = changes * len(fleet.balancers)
+    return Figure(name, longest, count, IN_FORCE_SECONDS, 'seconds')
+
+
+def _measure_traffic(fleet: Fleet) -> Iterator[Figure]:
+    # A group of this size has a change every few minutes on average.
+    calls_before = _count_calls(fleet)
+    time.sleep(TRAFFIC_SECONDS)
+    calls = _count_calls(fleet) - calls_before
+    yield Figure(
+        'store_calls_per_second',
+        calls / TRAFFIC_SECONDS,
+        calls,
+        STORE_CALLS,
+        'calls_per_second',
+    )
+    bytes_before = _read_control_bytes(fleet)
+    calls_before = _count_calls(fleet)
+    start = time.monotonic()
+    for _ in range(CHANGES):
+        _change(fleet)
+        time.sleep(TRAFFIC_SECONDS / CHANGES)
+    seconds = time.monotonic() - start
+    most = max(
+        total - bytes_before[name]
+        for name, total in _read_control_bytes(fleet).items()
+    )
+    # Includes the read and the write of the change itself.
+    more = (
+        _count_calls(fleet) - calls_before - calls * seconds / TRAFFIC_SECONDS
+    )
+    yield Figure(
+        'control_bytes_per_second',
+        most / seconds,
+        int(most),
+        CONTROL_BYTES,
+        'bytes_per_second',
+    )
+    yield Figure(
+        'store_calls_for_a_change',
+        more / CHANGES,
+        CHANGES,
+        STORE_CALLS_FOR_CHANGE,
+        'calls',
+    )
+
+
+def _measure_death(fleet: Fleet) -> Iterator[Figure]:
+    # The member that writes the status is also a reader.
+    wait_until(lambda: bool(read_status(fleet, 'qc-1')), 'status of qc-1')
+    killed = fleet.balancers.pop(read_status(fleet, 'qc-1')['summarizer'])
+    kill_process(killed.process)
+    killed_at = time.time()
+    name = 'config_in_force_with_a_killed_balancer_seconds'
+    yield _measure_changes(fleet, name, CHANGES)
+    wait_until(
+        lambda: all(
+            killed.name not in members for _at, members in _list_views(fleet)
+        ),
+        f'the death of {killed.name} is known',
+    )
+    longest = max(at - killed_at for at, _members in _list_views(fleet))
+    yield Figure(
+        'death_detection_seconds',
+        longest,
+        len(fleet.balancers),
+        LEAVING_SECONDS,
+        'seconds',
+    )
+
+
+def _measure_outage(fleet: Fleet) -> Iterator[Figure]:
+    start = time.time() + OUTAGE_SECONDS - _QUIET_LEAD_SECONDS
+    period = {
+        'start': datetime.fromtimestamp(start, UTC).isoformat(),
+        'duration_seconds': 60,
+    }
+    version = edit_spec(fleet, _KEY, quiet_periods=[period])
+    measure_in_force(fleet.balancers.values(), version, time.time())
+    set_faults(fleet, outage=True)
+    time.sleep(OUTAGE_SECONDS)
+    starts = [
+        max(
+            _read_time(line) - start
+            for line in list_log(balancer, 'candidates_changed')
+        )
+        for balancer in fleet.balancers.values()
+    ]
+    started = [late for late in starts if late >= 0]
+    missing = len(starts) - len(started)
+    yield Figure(
+        'quiet_period_start_in_outage_seconds',
+        float('inf') if missing else max(started),
+        len(starts),
+        LEAVING_SECONDS,
+        'seconds',
+    )
+    set_faults(fleet, outage=False)
+    name = 'recovery_after_platform_outage_seconds'
+    yield _measure_changes(fleet, name, 1)
+
+
+def _list_views(fleet: Fleet) -> list[tuple[float, list[str]]]:
+    """Return the last change of members that each balancer has logged."""
+    lines = [
+        list_log(balancer, 'members_changed')[-1]
+        for balancer in fleet.balancers.values()
+    ]
+    return [(_read_time(line), line['members'].split(',')) for line in lines]
+
+
+def _read_time(line: dict[str, str]) -> float:
+    return datetime.fromisoformat(line['time']).timestamp()
+
+
+def _read_control_bytes(fleet: Fleet) -> dict[str, float]:
+    return {
+        name: sum(
+            read_metric(
+                balancer,
+                f'balsamshed_control_bytes_total{{direction="{direction}"}}',
+            )
+            for direction in ('sent', 'received')
+        )
+        for name, balancer in fleet.balancers.items()
+    }
+
+
+def _count_calls(fleet: Fleet) -> int:
+    counters = exchange(fleet.store_port, '/counters')
+    kinds = ('list', 'watch', 'read', 'write', 'vms')
+    return sum(counters.get(kind, 0) for kind in kinds)
+
+
+if __name__ == '__main__':
+    sys.exit(print_figures())
