--- a/balsamshed/front_ends/process.py
+++ b/balsamshed/front_ends/process.py
@@ -156,7 +156,12 @@
 
     is_peer = create_peer_check(node.membership.peers)
     data_port = DataPort(fabric, is_peer, sink, count)
-    peer_port = PeerPort(settings.peer_key, sink, count)
+    peer_port = PeerPort(
+        settings.peer_key,
+        sink,
+        count,
+        metrics.count_event,
+    )
     performers.update(
         create_packet_performers(data_port, fabric, find_data_address, count),
     )
--- a/testbed/capacity_model.py
+++ b/testbed/capacity_model.py
@@ -20,7 +20,7 @@
     decode_envelope,
     encode_envelope,
 )
-from balsamshed.configuration.catalog import Record
+from balsamshed.configuration.records import Record
 from balsamshed.members.member import Member
 from balsamshed.node.dispatch import handle_event
 from balsamshed.node.effects import (
--- a/testbed/measure_capacity.py
+++ b/testbed/measure_capacity.py
@@ -24,10 +24,10 @@
 
 from balsamshed.configuration.catalog import (
     Catalog,
-    Record,
     derive_routing_table,
     merge_records,
 )
+from balsamshed.configuration.records import Record
 from balsamshed.flows.packets import Packet, TcpFlag, build_flow_key
 from balsamshed.flows.table import adopt_flow, get_placement
 from balsamshed.members import ownership
