Put a fault-injecting proxy between the processes of a trial

Change: the proxy loses, delays, repeats or cuts datagrams by rules for each direction, and cuts, silences or loses responses of TCP links. Balancers take the keys advertised_host, advertised_data_port and advertised_control_port, so that peers reach them at a public port of the proxy. Callers can be steered while they run, and trials compare what they saw with what ran. Reason for the advertised address: peers identify each other by the address in membership messages. A proxy in front of each port without it would see only what the fabric sends; the keys cost three fields and serve any address translation. Ruled out: rewriting addresses inside authenticated peer messages, and a partition rule inside the product.

--- a/balsamshed/front_ends/process.py
+++ b/balsamshed/front_ends/process.py
@@ -93,9 +93,9 @@
     own = Member(
         settings.name,
         settings.data_centre,
-        settings.host,
-        settings.data_port,
-        settings.control_port,
+        settings.advertised_host,
+        settings.advertised_data_port,
+        settings.advertised_control_port,
     )
     seeds = [(peer.host, peer.port) for peer in settings.peers]
     return create_node(
--- a/balsamshed/settings/balancer.py
+++ b/balsamshed/settings/balancer.py
@@ -39,6 +39,11 @@
         UDP port for peer messages.
     metrics_port : int
         TCP port for metrics and health.
+    advertised_host : str
+        IPv4 address at which peers reach the balancer.
+    advertised_data_port, advertised_control_port : int
+        UDP ports at which peers reach the two ports, for example behind an
+        address translation.
     fabric : SocketAddress
         Where packets are handed back to the fabric.
     store_url : str
@@ -56,6 +61,9 @@
     data_port: int
     control_port: int
     metrics_port: int
+    advertised_host: str
+    advertised_data_port: int
+    advertised_control_port: int
     fabric: SocketAddress
     store_url: str
     peers: tuple[SocketAddress, ...]
--- a/balsamshed/settings/files.py
+++ b/balsamshed/settings/files.py
@@ -14,6 +14,7 @@
 from balsamshed.settings.balancer import BalancerSettings, SocketAddress
 
 _PORT_KEYS: Final = ('data_port', 'control_port', 'metrics_port')
+_UNSPECIFIED_HOST: Final = '0.0.0.0'  # noqa: S104  (never bound)
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +127,9 @@
         data_port=content['data_port'],
         control_port=content['control_port'],
         metrics_port=content['metrics_port'],
+        advertised_host=_choose(content, 'host', _UNSPECIFIED_HOST),
+        advertised_data_port=_choose(content, 'data_port', 0),
+        advertised_control_port=_choose(content, 'control_port', 0),
         fabric=_build_address(content['fabric']),
         store_url=content['store_url'].rstrip('/'),
         peers=tuple(map(_build_address, content['peers'])),
@@ -133,5 +137,11 @@
     )
 
 
+def _choose(content: Mapping[str, Any], key: str, unset: str | int) -> Any:
+    """Return what peers use in place of a bound host or port."""
+    advertised = content[f'advertised_{key}']
+    return content[key] if advertised == unset else advertised
+
+
 def _build_address(content: Mapping[str, Any]) -> SocketAddress:
     return SocketAddress(content['host'], content['port'])
--- a/balsamshed/settings/tests/test_files.py
+++ b/balsamshed/settings/tests/test_files.py
@@ -41,6 +41,21 @@
     return [finding.place for finding in outcome.findings]
 
 
+def test_peers_get_the_advertised_address(tmp_path):
+    """Behind an address translation peers must not use the bound address."""
+    text = json.dumps(
+        make_settings(
+            advertised_host='192.0.2.7',
+            advertised_control_port=9401,
+        ),
+    )
+    settings = read_text(tmp_path, text)
+    assert settings.advertised_host == '192.0.2.7'
+    assert settings.advertised_data_port == settings.data_port == 7400
+    assert settings.advertised_control_port == 9401
+    assert settings.control_port == 7401
+
+
 def test_defaults_complete_a_minimal_file(tmp_path):
     """A minimal file must listen on the loopback address only."""
     settings = read_text(tmp_path, json.dumps(make_settings()))
@@ -52,6 +67,9 @@
         data_port=7400,
         control_port=7401,
         metrics_port=7402,
+        advertised_host='127.0.0.1',
+        advertised_data_port=7400,
+        advertised_control_port=7401,
         fabric=SocketAddress('127.0.0.1', 9000),
         store_url='http://127.0.0.1:8080',
         peers=(),
--- /dev/null
+++ b/testbed/datagram_faults.py
@@ -0,0 +1,196 @@
+"""UDP links with faults, between any processes that know only their ends.
+
+Each process of the test network gets a public port. A datagram that reaches
+the public port of one process is passed on from the public port of its
+sender, so that replies take the same way back and a receiver that checks
+senders sees the address that it knows.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from fnmatch import fnmatchcase
+from typing import Any
+
+from testbed.addresses import SocketAddress, parse_socket_address
+from testbed.datagrams import DatagramHandler, send_datagram
+from testbed.faults import change_faults
+
+
+@dataclass(frozen=True, slots=True)
+class DatagramRule:
+    """What happens to datagrams of one direction.
+
+    Parameters
+    ----------
+    source, target : str
+        Patterns of process names, with ``*`` for any characters. A rule
+        covers one direction.
+    drop_share : float
+        Share of the datagrams that is lost, from 0 to 1.
+    delay_ms : float
+        Delay of each datagram.
+    jitter_ms : float
+        Random further delay, which changes the order.
+    duplicate_share : float
+        Share of the datagrams that is delivered twice.
+    duplicate_delay_ms : float
+        How much later the second one is sent.
+    """
+
+    source: str = '*'
+    target: str = '*'
+    drop_share: float = 0
+    delay_ms: float = 0
+    jitter_ms: float = 0
+    duplicate_share: float = 0
+    duplicate_delay_ms: float = 0
+
+
+@dataclass(slots=True)
+class DatagramLinks:
+    """Processes behind the proxy and the rules between them.
+
+    Attributes
+    ----------
+    draw : callable
+        Returns a random number from 0 to below 1.
+    clock : object
+        Twisted's reactor, or a clock for tests.
+    listen : callable
+        Opens a UDP port for a handler.
+    targets : dict of str to SocketAddress
+        Real address of each process.
+    names : dict of SocketAddress to str
+        The reverse of it.
+    ports : dict of str to object
+        Twisted's listening port of each process.
+    rules : tuple of DatagramRule
+        The first that matches applies.
+    counters : Counter of str
+        ``delivered``, ``dropped``, ``duplicated``, ``unknown_sender``.
+    """
+
+    draw: Callable[[], float]
+    clock: Any
+    listen: Callable[[int, DatagramHandler], Any]
+    targets: dict[str, SocketAddress] = field(default_factory=dict)
+    names: dict[SocketAddress, str] = field(default_factory=dict)
+    ports: dict[str, Any] = field(default_factory=dict)
+    rules: tuple[DatagramRule, ...] = ()
+    counters: Counter[str] = field(default_factory=Counter)
+
+
+def add_process(
+    links: DatagramLinks,
+    name: str,
+    public_port: int,
+    target: str,
+) -> None:
+    """Open the public port of a process.
+
+    Parameters
+    ----------
+    links : DatagramLinks
+        Changed in place.
+    name : str
+        Name of the process, with its port's kind if it has several.
+    public_port : int
+        UDP port on 127.0.0.1 that stands for the process.
+    target : str
+        ``host:port`` of its real socket.
+    """
+    address = parse_socket_address(target)
+    links.targets[name] = address
+    links.names[address] = name
+    if name not in links.ports:
+        links.ports[name] = links.listen(
+            public_port,
+            lambda raw, sender: receive_datagram(links, name, raw, sender),
+        )
+
+
+def replace_rules(
+    links: DatagramLinks,
+    rules: Sequence[Mapping[str, Any]],
+) -> None:
+    """Replace all rules.
+
+    Parameters
+    ----------
+    links : DatagramLinks
+        Changed in place.
+    rules : sequence of mapping
+        Fields of `DatagramRule` that differ from its defaults.
+
+    Raises
+    ------
+    ValueError
+        If a field is unknown.
+    """
+    links.rules = tuple(change_faults(DatagramRule(), rule) for rule in rules)
+
+
+def receive_datagram(
+    links: DatagramLinks,
+    target: str,
+    raw: bytes,
+    sender: SocketAddress,
+) -> None:
+    """Pass a datagram on, or do what a rule says.
+
+    Parameters
+    ----------
+    links : DatagramLinks
+        Changed in place.
+    target : str
+        Name of the process whose public port it reached.
+    raw : bytes
+        The datagram.
+    sender : SocketAddress
+        Real address of the sender.
+    """
+    source = links.names.get(sender)
+    if source is None:
+        links.counters['unknown_sender'] += 1
+        return
+    rule = find_rule(links.rules, source, target)
+    if links.draw() < rule.drop_share:
+        links.counters['dropped'] += 1
+        return
+    delay_ms = rule.delay_ms + rule.jitter_ms * links.draw()
+    _deliver(links, source, target, raw, delay_ms)
+    if links.draw() < rule.duplicate_share:
+        links.counters['duplicated'] += 1
+        later_ms = delay_ms + rule.duplicate_delay_ms
+        _deliver(links, source, target, raw, later_ms)
+
+
+def find_rule(
+    rules: Sequence[DatagramRule],
+    source: str,
+    target: str,
+) -> DatagramRule:
+    """Return the first rule that covers a direction, or one without faults."""
+    for rule in rules:
+        if fnmatchcase(source, rule.source):
+            if fnmatchcase(target, rule.target):
+                return rule
+    return DatagramRule()
+
+
+def _deliver(
+    links: DatagramLinks,
+    source: str,
+    target: str,
+    raw: bytes,
+    delay_ms: float,
+) -> None:
+    def send() -> None:
+        send_datagram(links.ports[source], raw, links.targets[target])
+        links.counters['delivered'] += 1
+
+    if delay_ms:
+        links.clock.callLater(delay_ms / 1000, send)
+    else:
+        send()
--- /dev/null
+++ b/testbed/fault_proxy.py
@@ -0,0 +1,163 @@
+"""A process between others that loses, delays and repeats what they send.
+
+HTTP on the control port, with JSON bodies:
+
+- ``POST /processes`` ``{"name", "public_port", "target"}`` puts a process'
+  UDP socket behind a public port, see `testbed.datagram_faults`;
+- ``POST /rules`` ``{"rules": [...]}`` replaces the rules for datagrams;
+- ``POST /streams`` ``{"name", "port", "target"}`` opens a TCP link;
+- ``POST /stream_faults`` ``{"name", ...}`` changes the faults of the links
+  whose names match, see `testbed.stream_faults.StreamFaults`;
+- ``POST /silence`` ``{"name"}`` silences the open connections of links;
+- ``GET /counters``.
+
+``python -m testbed.fault_proxy --help`` lists the options.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from fnmatch import fnmatchcase
+from functools import partial
+from random import Random
+from typing import Any
+
+import defopt
+from twisted.internet import reactor
+
+from testbed.addresses import parse_socket_address
+from testbed.datagram_faults import (
+    DatagramLinks,
+    add_process,
+    replace_rules,
+)
+from testbed.datagrams import listen_datagrams
+from testbed.faults import change_faults
+from testbed.http_api import (
+    RequestHandler,
+    build_getter,
+    build_router,
+    build_setter,
+    listen_http,
+)
+from testbed.programs import run_until_stopped
+from testbed.stream_faults import (
+    StreamFaults,
+    StreamLink,
+    build_listener,
+    set_faults,
+    silence_open,
+)
+
+
+@dataclass(slots=True)
+class FaultProxy:
+    """All links of a proxy.
+
+    Attributes
+    ----------
+    datagrams : DatagramLinks
+        Processes that exchange datagrams.
+    streams : dict of str to StreamLink
+        TCP links by name.
+    """
+
+    datagrams: DatagramLinks
+    streams: dict[str, StreamLink] = field(default_factory=dict)
+
+
+def run_fault_proxy(*, control_port: int, seed: int = 0) -> None:
+    """Run the proxy until it gets SIGTERM.
+
+    Parameters
+    ----------
+    control_port : int
+        TCP port of the control calls.
+    seed : int
+        Seed of the random choice of datagrams.
+    """
+    draw = Random(seed).random  # noqa: S311
+    proxy = FaultProxy(DatagramLinks(draw, reactor, listen_datagrams))
+    listen_http(control_port, build_control(proxy))
+    run_until_stopped('fault_proxy', control_port=control_port)
+
+
+def build_control(proxy: FaultProxy) -> RequestHandler:
+    """Return the handler of the control calls.
+
+    Parameters
+    ----------
+    proxy : FaultProxy
+        Changed in place by the calls.
+
+    Returns
+    -------
+    callable
+        The handler.
+    """
+    setters = {
+        '/processes': _post_process,
+        '/rules': _post_rules,
+        '/streams': _post_stream,
+        '/stream_faults': _post_stream_faults,
+        '/silence': _post_silence,
+    }
+    routes: dict[tuple[str, str], RequestHandler] = {
+        ('POST', path): build_setter(partial(setter, proxy))
+        for path, setter in setters.items()
+    }
+    routes['GET', '/counters'] = build_getter(
+        lambda: {
+            'datagrams': dict(proxy.datagrams.counters),
+            'streams': {
+                name: dict(link.counters)
+                for name, link in proxy.streams.items()
+            },
+        },
+    )
+    return build_router(routes)
+
+
+def _post_process(proxy: FaultProxy, document: dict[str, Any]) -> object:
+    name, target = str(document.get('name')), str(document.get('target'))
+    port = int(document.get('public_port', 0))
+    add_process(proxy.datagrams, name, port, target)
+    return document
+
+
+def _post_rules(proxy: FaultProxy, document: dict[str, Any]) -> object:
+    replace_rules(proxy.datagrams, document.get('rules', []))
+    return document
+
+
+def _post_stream(proxy: FaultProxy, document: dict[str, Any]) -> object:
+    target = parse_socket_address(str(document.get('target')))
+    link = StreamLink(target, reactor.connectTCP)
+    port = int(document.get('port', 0))
+    reactor.listenTCP(port, build_listener(link), interface='127.0.0.1')
+    proxy.streams[str(document.get('name'))] = link
+    return document
+
+
+def _post_stream_faults(
+    proxy: FaultProxy,
+    document: dict[str, Any],
+) -> object:
+    changes = dict(document)
+    for link in _match_streams(proxy, str(changes.pop('name', ''))):
+        set_faults(link, change_faults(StreamFaults(), changes))
+    return document
+
+
+def _post_silence(proxy: FaultProxy, document: dict[str, Any]) -> object:
+    links = _match_streams(proxy, str(document.get('name')))
+    return {'silenced': sum(map(silence_open, links))}
+
+
+def _match_streams(proxy: FaultProxy, pattern: str) -> Iterator[StreamLink]:
+    for name, link in proxy.streams.items():
+        if fnmatchcase(name, pattern):
+            yield link
+
+
+if __name__ == '__main__':
+    defopt.run(run_fault_proxy)
--- /dev/null
+++ b/testbed/faulty_fleet.py
@@ -0,0 +1,132 @@
+"""A fleet whose processes talk to each other through the fault proxy.
+
+Peers reach a balancer at the address that it advertises, which is a public
+port of the proxy; so is its address of the object API.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+from testbed.fleet import Balancer, Fleet, exchange, start_balancer
+from testbed.processes import pick_free_ports, run_module, wait_for_port
+
+
+def start_proxy(fleet: Fleet, seed: int = 0) -> int:
+    """Start the fault proxy of a fleet.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Ends the process.
+    seed : int
+        Seed of the random choice of datagrams.
+
+    Returns
+    -------
+    int
+        Its control port.
+    """
+    control_port = pick_free_ports(1)[0]
+    fleet.stack.enter_context(
+        run_module(
+            'testbed.fault_proxy',
+            *('--control-port', control_port, '--seed', seed),
+        ),
+    )
+    wait_for_port(control_port)
+    return control_port
+
+
+def start_proxied_balancer(
+    fleet: Fleet,
+    proxy_port: int,
+    name: str,
+    data_centre: str,
+) -> Balancer:
+    """Start a balancer behind the proxy.
+
+    Its links are called ``NAME.data``, ``NAME.control`` and ``NAME.store``.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Changed in place.
+    proxy_port : int
+        Control port of the proxy.
+    name, data_centre : str
+        Name of the balancer and its data centre.
+
+    Returns
+    -------
+    Balancer
+        The running balancer; it may not be ready yet.
+    """
+    ports = pick_free_ports(5)
+    data_port, control_port, public_data, public_control, store_port = ports
+    hide_process(proxy_port, f'{name}.data', public_data, data_port)
+    hide_process(proxy_port, f'{name}.control', public_control, control_port)
+    stream = {
+        'name': f'{name}.store',
+        'port': store_port,
+        'target': f'127.0.0.1:{fleet.store_port}',
+    }
+    exchange(proxy_port, '/streams', 'POST', stream)
+    return start_balancer(
+        fleet,
+        name,
+        data_centre,
+        data_port=data_port,
+        control_port=control_port,
+        advertised_data_port=public_data,
+        advertised_control_port=public_control,
+        store_url=f'http://127.0.0.1:{store_port}',
+    )
+
+
+def hide_process(
+    proxy_port: int,
+    name: str,
+    public_port: int,
+    port: int,
+) -> None:
+    """Put the UDP socket of a process behind a public port."""
+    document = {
+        'name': name,
+        'public_port': public_port,
+        'target': f'127.0.0.1:{port}',
+    }
+    exchange(proxy_port, '/processes', 'POST', document)
+
+
+def set_rules(proxy_port: int, *rules: Mapping[str, Any]) -> None:
+    """Replace the proxy's rules for datagrams; none means no faults."""
+    exchange(proxy_port, '/rules', 'POST', {'rules': list(rules)})
+
+
+def cut_off(proxy_port: int, *names: str) -> None:
+    """Separate balancers from all others and from the object API.
+
+    Parameters
+    ----------
+    proxy_port : int
+        Control port of the proxy.
+    *names : str
+        Balancers on the far side; they still reach each other.
+    """
+    rules: list[Mapping[str, Any]] = []
+    for name in names:
+        rules.extend(
+            {'source': f'{name}.*', 'target': f'{other}.*'} for other in names
+        )
+    for name in names:
+        rules.append({'source': f'{name}.*', 'drop_share': 1})
+        rules.append({'target': f'{name}.*', 'drop_share': 1})
+        faults = {'name': f'{name}.store', 'cut': True}
+        exchange(proxy_port, '/stream_faults', 'POST', faults)
+    set_rules(proxy_port, *rules)
+
+
+def heal(proxy_port: int) -> None:
+    """End all faults of the proxy."""
+    set_rules(proxy_port)
+    exchange(proxy_port, '/stream_faults', 'POST', {'name': '*'})
--- a/testbed/fleet.py
+++ b/testbed/fleet.py
@@ -98,6 +98,8 @@
         The process.
     data_port, control_port, metrics_port : int
         Ports on the loopback interface.
+    peer_port : int
+        Port at which its peers reach the control port.
     """
 
     name: str
@@ -106,6 +108,7 @@
     data_port: int
     control_port: int
     metrics_port: int
+    peer_port: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -235,10 +238,10 @@
     """
     data_port, control_port, metrics_port = pick_free_ports(3)
     peers = [
-        {'host': '127.0.0.1', 'port': other.control_port}
+        {'host': '127.0.0.1', 'port': other.peer_port}
         for other in fleet.balancers.values()
     ]
-    settings = {
+    settings: dict[str, Any] = {
         'name': name,
         'group': GROUP,
         'data_centre': data_centre,
@@ -261,9 +264,10 @@
         name,
         data_centre,
         process,
-        data_port,
-        control_port,
+        settings['data_port'],
+        settings['control_port'],
         metrics_port,
+        settings.get('advertised_control_port', settings['control_port']),
     )
     fleet.balancers[name] = balancer
     update_fabric(fleet)
@@ -300,10 +304,13 @@
     list of Server
         The running servers.
     """
-    return [
-        start_server(fleet, plan, position, service_time_ms)
+    servers = [
+        _launch_server(fleet, plan, position, service_time_ms)
         for position in range(1, plan.endpoints + 1)
     ]
+    for server in servers:
+        wait_for_port(server.report_port)
+    return servers
 
 
 def start_server(
@@ -330,6 +337,17 @@
     Server
         The running server.
     """
+    server = _launch_server(fleet, plan, position, service_time_ms)
+    wait_for_port(server.report_port)
+    return server
+
+
+def _launch_server(
+    fleet: Fleet,
+    plan: ServicePlan,
+    position: int,
+    service_time_ms: int,
+) -> Server:
     port, report_port = pick_free_ports(2)
     name = f'{plan.name}-{position}'
     host = f'{plan.network}.{position}'
@@ -354,7 +372,6 @@
         report_port,
     )
     fleet.servers[name] = server
-    wait_for_port(report_port)
     fleet.hosts[host] = f'127.0.0.1:{port}'
     exchange(fleet.fabric_control_port, '/hosts', 'PUT', fleet.hosts)
     return server
--- /dev/null
+++ b/testbed/steered_callers.py
@@ -0,0 +1,238 @@
+"""Simulated callers that a test steers over HTTP while they run.
+
+HTTP on the control port, with JSON bodies:
+
+- ``POST /feeds`` ``{"address", "port", "service", "count"}`` opens feeds;
+- ``POST /requests`` ``{"address", "port", "service", "count", ...}`` sends
+  requests now;
+- ``POST /load`` ``{"address", ..., "per_second"}`` sends requests at a steady
+  rate, zero to stop;
+- ``GET /report``: each feed, each outcome, and the number without outcome.
+
+``python -m testbed.steered_callers --help`` lists the options.
+"""
+
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import defopt
+from twisted.internet.task import LoopingCall
+
+from testbed.addresses import parse_address
+from testbed.caller import (
+    Callers,
+    FeedState,
+    Outcome,
+    find_break,
+    listen_callers,
+    open_feed,
+    send_request,
+)
+from testbed.connection import is_open
+from testbed.http_api import (
+    RequestHandler,
+    build_getter,
+    build_router,
+    build_setter,
+    listen_http,
+)
+from testbed.programs import run_until_stopped
+
+#: Bytes of a response unless the call says otherwise.
+DEFAULT_SIZE: Final = 3000
+#: Deadline of a request unless the call says otherwise.
+DEFAULT_DEADLINE_MS: Final = 5000
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request as it was sent.
+
+    Parameters
+    ----------
+    request_id, service : str
+        Name of the request and of the service that has to answer.
+    sent_at : float
+        Wall time of the first SYN.
+    local : tuple of (int, int)
+        Address and port of the caller.
+    """
+
+    request_id: str
+    service: str
+    sent_at: float
+    local: tuple[int, int]
+
+
+@dataclass(slots=True)
+class SteeredCallers:
+    """Callers with all that they have done.
+
+    Attributes
+    ----------
+    callers : Callers
+        The simulated callers.
+    prefix : str
+        Start of the requests' names.
+    feeds : list of (FeedState, float)
+        Feeds with the wall time of their first SYN.
+    sent : dict of str to Sent
+        Requests by name.
+    outcomes : list of Outcome
+        Outcomes so far.
+    loads : dict of str to LoopingCall
+        Steady requests by address.
+    """
+
+    callers: Callers
+    prefix: str
+    feeds: list[tuple[FeedState, float]] = field(default_factory=list)
+    sent: dict[str, Sent] = field(default_factory=dict)
+    outcomes: list[Outcome] = field(default_factory=list)
+    loads: dict[str, LoopingCall] = field(default_factory=dict)
+
+
+def run_steered_callers(
+    *,
+    fabric_port: int,
+    port: int,
+    control_port: int,
+    first_host: str = '10.9.0.1',
+    prefix: str = 'r',
+) -> None:
+    """Run callers until SIGTERM.
+
+    Parameters
+    ----------
+    fabric_port : int
+        UDP port of the fabric.
+    port : int
+        UDP port for packets.
+    control_port : int
+        TCP port of the control calls.
+    first_host : str
+        IPv4 address of the first caller.
+    prefix : str
+        Start of the requests' names, different in each process.
+    """
+    callers, _listening = listen_callers(fabric_port, first_host, port=port)
+    listen_http(control_port, build_control(SteeredCallers(callers, prefix)))
+    run_until_stopped('steered_callers', port=port, control_port=control_port)
+
+
+def build_control(steered: SteeredCallers) -> RequestHandler:
+    """Return the handler of the control calls.
+
+    Parameters
+    ----------
+    steered : SteeredCallers
+        Changed in place by the calls.
+
+    Returns
+    -------
+    callable
+        The handler.
+    """
+
+    def post_feeds(order: dict[str, Any]) -> object:
+        for _ in range(int(order.get('count', 1))):
+            _open_feed(steered, order)
+        return order
+
+    def post_requests(order: dict[str, Any]) -> object:
+        for _ in range(int(order.get('count', 1))):
+            _send_request(steered, order)
+        return order
+
+    def post_load(order: dict[str, Any]) -> object:
+        _change_load(steered, order)
+        return order
+
+    return build_router(
+        {
+            ('POST', '/feeds'): build_setter(post_feeds),
+            ('POST', '/requests'): build_setter(post_requests),
+            ('POST', '/load'): build_setter(post_load),
+            ('GET', '/report'): build_getter(lambda: describe(steered)),
+        },
+    )
+
+
+def describe(steered: SteeredCallers) -> dict[str, object]:
+    """Return the JSON document of ``GET /report``."""
+    now = steered.callers.clock.seconds()
+    return {
+        'feeds': [
+            {
+                'id': feed.feed_id,
+                'ticks': feed.ticks,
+                'broken_by': find_break(feed, now),
+                'refused': feed.refused,
+                'open': is_open(feed.connection),
+                'opened_at': opened_at,
+                'local': feed.connection.local,
+            }
+            for feed, opened_at in steered.feeds
+        ],
+        'requests': [
+            {
+                'id': outcome.request_id,
+                'result': outcome.result.value,
+                'server': outcome.server,
+                'complete': outcome.complete,
+                'seconds': outcome.elapsed_seconds,
+                'service': steered.sent[outcome.request_id].service,
+                'sent_at': steered.sent[outcome.request_id].sent_at,
+                'local': steered.sent[outcome.request_id].local,
+            }
+            for outcome in steered.outcomes
+        ],
+        'pending': len(steered.callers.requests),
+    }
+
+
+def _open_feed(steered: SteeredCallers, order: Mapping[str, Any]) -> None:
+    feed = open_feed(
+        steered.callers,
+        parse_address(order['address']),
+        int(order['port']),
+        str(order['service']),
+    )
+    steered.feeds.append((feed, time.time()))
+
+
+def _send_request(steered: SteeredCallers, order: Mapping[str, Any]) -> None:
+    callers = steered.callers
+    request_id = f'{steered.prefix}{len(steered.sent)}'
+    service = str(order['service'])
+    done = send_request(
+        callers,
+        parse_address(order['address']),
+        int(order['port']),
+        service,
+        request_id,
+        int(order.get('size', DEFAULT_SIZE)),
+        int(order.get('deadline_ms', DEFAULT_DEADLINE_MS)),
+    )
+    newest = next(reversed(callers.requests.values()))
+    local = newest.connection.local
+    steered.sent[request_id] = Sent(request_id, service, time.time(), local)
+    done.addCallback(steered.outcomes.append)
+
+
+def _change_load(steered: SteeredCallers, order: Mapping[str, Any]) -> None:
+    address = str(order['address'])
+    running = steered.loads.pop(address, None)
+    if running is not None:
+        running.stop()
+    rate = float(order['per_second'])
+    if rate:
+        repeating = LoopingCall(_send_request, steered, order)
+        repeating.start(1 / rate)
+        steered.loads[address] = repeating
+
+
+if __name__ == '__main__':
+    defopt.run(run_steered_callers)
--- /dev/null
+++ b/testbed/stream_faults.py
@@ -0,0 +1,193 @@
+"""TCP links with faults."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory, Factory, Protocol
+
+from testbed.addresses import SocketAddress
+
+
+@dataclass(frozen=True, slots=True)
+class StreamFaults:
+    """What happens to connections of a link.
+
+    Parameters
+    ----------
+    cut : bool
+        Close open and new connections at once.
+    silent : bool
+        Accept connections and forward nothing.
+    lose_responses : int
+        For so many connections, forward what the client sends and close the
+        connection instead of forwarding the first part of the response.
+    """
+
+    cut: bool = False
+    silent: bool = False
+    lose_responses: int = 0
+
+
+@dataclass(slots=True)
+class StreamLink:
+    """A TCP port that leads to another one.
+
+    Attributes
+    ----------
+    target : SocketAddress
+        Where connections are forwarded.
+    connect : callable
+        Opens a TCP connection: host, port and a factory.
+    faults : StreamFaults
+        Current faults.
+    open : set of Pipe
+        Client ends of the open connections.
+    counters : Counter of str
+        ``accepted``, ``cut``, ``silenced``, ``lost_responses``.
+    """
+
+    target: SocketAddress
+    connect: Callable[[str, int, ClientFactory], object]
+    faults: StreamFaults = StreamFaults()
+    open: set['Pipe'] = field(default_factory=set)
+    counters: Counter[str] = field(default_factory=Counter)
+
+
+class Pipe(Protocol):
+    """One end of a forwarded connection.
+
+    Parameters
+    ----------
+    link : StreamLink
+        The link that it belongs to.
+    client : Pipe or None
+        The other end, if this is the end at the target.
+    """
+
+    def __init__(self, link: StreamLink, client: 'Pipe | None' = None) -> None:
+        self.link = link
+        self.other = client
+        self.is_client = client is None
+        self.is_silent = False
+        self.waiting = bytearray()
+
+    def connectionMade(self) -> None:  # noqa: N802  (name given by Twisted)
+        """Connect to the target, or start to forward."""
+        if self.is_client:
+            _accept(self)
+        else:
+            _join(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Forward data."""
+        _forward(self, data)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Close the other end, unless this connection went silent."""
+        _close(self)
+
+
+def build_listener(link: StreamLink) -> Factory:
+    """Return the factory for a link's clients."""
+    factory = Factory()
+    factory.noisy = False
+    factory.buildProtocol = lambda _address: Pipe(link)
+    return factory
+
+
+def set_faults(link: StreamLink, faults: StreamFaults) -> None:
+    """Change the faults of a link.
+
+    Parameters
+    ----------
+    link : StreamLink
+        Changed in place.
+    faults : StreamFaults
+        The new faults; a cut also ends open connections.
+    """
+    link.faults = faults
+    if faults.cut:
+        for pipe in tuple(link.open):
+            link.counters['cut'] += 1
+            pipe.transport.abortConnection()
+
+
+def silence_open(link: StreamLink) -> int:
+    """Forward nothing more on the open connections; new ones work.
+
+    Parameters
+    ----------
+    link : StreamLink
+        Changed in place.
+
+    Returns
+    -------
+    int
+        Connections that went silent.
+    """
+    for pipe in link.open:
+        pipe.is_silent = True
+    link.counters['silenced'] += len(link.open)
+    return len(link.open)
+
+
+def _accept(pipe: Pipe) -> None:
+    link = pipe.link
+    link.counters['accepted'] += 1
+    if link.faults.cut:
+        link.counters['cut'] += 1
+        pipe.transport.abortConnection()
+        return
+    link.open.add(pipe)
+    if link.faults.silent:
+        link.counters['silenced'] += 1
+        pipe.is_silent = True
+        return
+    factory = ClientFactory()
+    factory.noisy = False
+    factory.buildProtocol = lambda _address: Pipe(link, pipe)
+    factory.clientConnectionFailed = lambda _connector, _reason: (
+        pipe.transport.abortConnection()
+    )
+    link.connect(*link.target, factory)
+
+
+def _join(pipe: Pipe) -> None:
+    client = pipe.other
+    if client is None or client not in pipe.link.open:
+        pipe.transport.abortConnection()
+        return
+    client.other = pipe
+    pipe.transport.write(bytes(client.waiting))
+    client.waiting.clear()
+
+
+def _forward(pipe: Pipe, chunk: bytes) -> None:
+    client = pipe if pipe.is_client else pipe.other
+    if client is None or client.is_silent:
+        return
+    link = pipe.link
+    if pipe.other is None:
+        pipe.waiting += chunk
+    elif pipe.is_client or not link.faults.lose_responses:
+        pipe.other.transport.write(chunk)
+    else:
+        left = link.faults.lose_responses - 1
+        link.faults = StreamFaults(lose_responses=left)
+        link.counters['lost_responses'] += 1
+        client.transport.abortConnection()
+
+
+def _close(pipe: Pipe) -> None:
+    other = pipe.other
+    pipe.other = None
+    if pipe.is_client:
+        pipe.link.open.discard(pipe)
+    elif other is not None and other.is_silent:
+        # The client must not learn that the target has closed.
+        return
+    if other is not None:
+        other.other = None
+        other.transport.loseConnection()
--- /dev/null
+++ b/testbed/trials.py
@@ -0,0 +1,485 @@
+"""Trials: a fleet with callers under a fault, and what came of it."""
+
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from balsamshed.flows.packets import build_flow_key
+from balsamshed.members.member import Member
+from balsamshed.members.ownership import (
+    Ownership,
+    assign_slots,
+    get_hash_slot,
+)
+from testbed.addresses import parse_address
+from testbed.faulty_fleet import (
+    hide_process,
+    start_proxied_balancer,
+    start_proxy,
+)
+from testbed.fleet import (
+    CRENEAU,
+    FEED_PORT,
+    REGISTRE,
+    REQUEST_PORT,
+    Fleet,
+    ServicePlan,
+    apply_objects,
+    build_objects,
+    exchange,
+    read_metric,
+    read_runs,
+    run_fleet,
+    start_balancer,
+    start_servers,
+    update_fabric,
+    wait_until_ready,
+)
+from testbed.processes import (
+    kill_process,
+    pick_free_ports,
+    run_module,
+    stop_process,
+    wait_for_port,
+    wait_until,
+)
+
+#: Balancers of a trial with their data centres.
+BALANCERS: Final = (('lb-1', 'qc-1'), ('lb-2', 'qc-1'), ('lb-3', 'qc-2'))
+#: Death is detected in about 2 s (section 8 of the design page); the rest is
+#: for a busy machine.
+DETECTION_SECONDS: Final = 6.0
+
+_SETTLE_SECONDS: Final = 14.0
+
+
+@dataclass(slots=True)
+class Trial:
+    """A running fleet with callers.
+
+    Attributes
+    ----------
+    fleet : Fleet
+        All processes.
+    callers_port : int
+        Control port of the callers.
+    proxy_port : int
+        Control port of the fault proxy; zero if there is none.
+    lost_runs : dict of str to object
+        What killed backend servers had run.
+    """
+
+    fleet: Fleet
+    callers_port: int
+    proxy_port: int = 0
+    lost_runs: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What came of a trial.
+
+    Parameters
+    ----------
+    feeds : tuple of dict
+        Feeds as their callers saw them.
+    requests : tuple of dict
+        Requests with an outcome.
+    runs : Counter of str
+        How often each request ran, on all backend servers together.
+    wrong_service : int
+        Requests and feeds that reached another service.
+    """
+
+    feeds: tuple[dict[str, Any], ...]
+    requests: tuple[dict[str, Any], ...]
+    runs: Counter[str]
+    wrong_service: int
+
+    @property
+    def broken_feeds(self) -> list[dict[str, Any]]:
+        """Feeds that were open and broke."""
+        return [feed for feed in self.feeds if feed['broken_by']]
+
+    @property
+    def refused_feeds(self) -> list[dict[str, Any]]:
+        """Feeds that were refused in the handshake."""
+        return [feed for feed in self.feeds if feed['refused']]
+
+    @property
+    def unanswered(self) -> list[dict[str, Any]]:
+        """Requests that were neither answered nor refused as not run."""
+        return [
+            request
+            for request in self.requests
+            if request['result'] not in {'answered', 'refused'}
+        ]
+
+    @property
+    def refused(self) -> list[dict[str, Any]]:
+        """Requests that were refused as not run."""
+        return [
+            request
+            for request in self.requests
+            if request['result'] == 'refused'
+        ]
+
+    @property
+    def double_runs(self) -> list[str]:
+        """Requests that ran more than once (G5)."""
+        return [name for name, count in self.runs.items() if count > 1]
+
+    @property
+    def false_not_run(self) -> list[str]:
+        """Requests that were refused as not run and ran (G4)."""
+        return [
+            request['id']
+            for request in self.refused
+            if self.runs[request['id']]
+        ]
+
+    @property
+    def incomplete(self) -> list[str]:
+        """Requests with an answer that is not the complete own one (G3)."""
+        return [
+            request['id']
+            for request in self.requests
+            if request['result'] == 'answered'
+            and not (request['complete'] and self.runs[request['id']] == 1)
+        ]
+
+
+@contextmanager
+def run_trial(
+    balancers: Sequence[tuple[str, str]] = BALANCERS,
+    plans: Sequence[ServicePlan] = (CRENEAU, REGISTRE),
+    is_proxied: bool = False,
+    service_time_ms: int = 20,
+) -> Iterator[Trial]:
+    """Run a fleet with its services in force, and callers.
+
+    Parameters
+    ----------
+    balancers : sequence of (str, str)
+        Names and data centres.
+    plans : sequence of ServicePlan
+        Services.
+    is_proxied : bool
+        Whether balancers and callers are behind the fault proxy.
+    service_time_ms : int
+        How long a request runs.
+
+    Yields
+    ------
+    Trial
+        The processes end with the context.
+    """
+    with run_fleet() as fleet:
+        proxy_port = start_proxy(fleet) if is_proxied else 0
+        # The others join through the first, which has to listen by then.
+        add_balancer(fleet, proxy_port, *balancers[0])
+        objects: list[dict[str, Any]] = []
+        for plan in plans:
+            servers = start_servers(fleet, plan, service_time_ms)
+            objects.extend(build_objects(plan, servers))
+        wait_for_port(fleet.balancers[balancers[0][0]].metrics_port)
+        for name, data_centre in balancers[1:]:
+            add_balancer(fleet, proxy_port, name, data_centre)
+        callers_port = _start_callers(fleet, proxy_port)
+        wait_until_ready_to_join(fleet)
+        apply_objects(fleet, objects)
+        wait_until_ready(fleet)
+        trial = Trial(fleet, callers_port, proxy_port)
+        try:
+            yield trial
+        finally:
+            # A graceful stop takes seconds for each and has its own test.
+            for balancer in trial.fleet.balancers.values():
+                kill_process(balancer.process)
+
+
+def add_balancer(
+    fleet: Fleet,
+    proxy_port: int,
+    name: str,
+    data_centre: str,
+) -> None:
+    """Start a balancer, behind the proxy if there is one."""
+    if proxy_port:
+        start_proxied_balancer(fleet, proxy_port, name, data_centre)
+    else:
+        start_balancer(fleet, name, data_centre)
+
+
+def wait_until_ready_to_join(fleet: Fleet) -> None:
+    """Wait until all balancers run and know each other."""
+    for balancer in fleet.balancers.values():
+        wait_for_port(balancer.metrics_port)
+    wait_for_members(fleet)
+
+
+def wait_for_members(fleet: Fleet, *without: str) -> None:
+    """Wait until the balancers agree on who is there.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The balancers.
+    *without : str
+        Balancers that do not answer, which the others have to miss.
+    """
+    present = [
+        balancer
+        for name, balancer in fleet.balancers.items()
+        if name not in without
+    ]
+
+    def agree() -> bool:
+        return all(
+            read_metric(balancer, 'balsamshed_members') == len(present)
+            for balancer in present
+        )
+
+    wait_until(agree, f'{len(present)} members', DETECTION_SECONDS)
+
+
+def open_feeds(trial: Trial, count: int) -> None:
+    """Open feeds and wait until each has ticked twice or was refused."""
+    order_feeds(trial, count)
+    wait_for_ticks(trial, 2)
+
+
+def order_feeds(trial: Trial, count: int) -> None:
+    """Let the callers open feeds."""
+    order = {
+        'address': CRENEAU.address,
+        'port': FEED_PORT,
+        'service': CRENEAU.name,
+        'count': count,
+    }
+    exchange(trial.callers_port, '/feeds', 'POST', order)
+
+
+def wait_for_ticks(trial: Trial, ticks: int) -> None:
+    """Wait until each feed has got further ticks, was refused or broke.
+
+    Parameters
+    ----------
+    trial : Trial
+        The callers.
+    ticks : int
+        Ticks after the call, five in a second.
+    """
+    before = {feed['id']: feed['ticks'] for feed in read_report(trial)['feeds']}
+
+    def have_ticked() -> bool:
+        return all(
+            feed['ticks'] >= before[feed['id']] + ticks
+            or feed['refused']
+            or feed['broken_by']
+            for feed in read_report(trial)['feeds']
+        )
+
+    wait_until(have_ticked, f'{ticks} ticks', _SETTLE_SECONDS)
+
+
+def start_load(
+    trial: Trial,
+    per_second: float,
+    plans: Sequence[ServicePlan] = (CRENEAU, REGISTRE),
+) -> None:
+    """Send requests at a steady rate to each service; zero ends it."""
+    for plan in plans:
+        order = {
+            'address': plan.address,
+            'port': REQUEST_PORT,
+            'service': plan.name,
+            'per_second': per_second,
+        }
+        exchange(trial.callers_port, '/load', 'POST', order)
+
+
+def send_requests(
+    trial: Trial,
+    count: int,
+    plan: ServicePlan = CRENEAU,
+) -> None:
+    """Send requests at once."""
+    order = {
+        'address': plan.address,
+        'port': REQUEST_PORT,
+        'service': plan.name,
+        'count': count,
+    }
+    exchange(trial.callers_port, '/requests', 'POST', order)
+
+
+def wait_for_answers(trial: Trial, count: int) -> None:
+    """Wait until some more requests have an outcome."""
+    before = len(read_report(trial)['requests'])
+    wait_until(
+        lambda: len(read_report(trial)['requests']) >= before + count,
+        f'{count} more outcomes',
+        _SETTLE_SECONDS,
+    )
+
+
+def finish_load(trial: Trial) -> Verdict:
+    """End the steady load, await all outcomes and judge the trial.
+
+    Parameters
+    ----------
+    trial : Trial
+        The callers and the backend servers.
+
+    Returns
+    -------
+    Verdict
+        What came of all flows so far.
+    """
+    start_load(trial, 0)
+    wait_until(
+        lambda: read_report(trial)['pending'] == 0,
+        'no request without outcome',
+        _SETTLE_SECONDS,
+    )
+    return judge(trial)
+
+
+def judge(trial: Trial) -> Verdict:
+    """Compare what callers saw with what backend servers ran."""
+    report = read_report(trial)
+    runs: Counter[str] = Counter()
+    wrong_service = 0
+    for entry in (*trial.lost_runs.values(), *read_runs(trial.fleet).values()):
+        runs.update(entry['runs'])
+        wrong_service += entry['wrong_service']
+    return Verdict(
+        tuple(report['feeds']),
+        tuple(report['requests']),
+        runs,
+        wrong_service,
+    )
+
+
+def read_report(trial: Trial) -> dict[str, Any]:
+    """Return what the callers know."""
+    report: dict[str, Any] = exchange(trial.callers_port, '/report')
+    return report
+
+
+def assign_owners(fleet: Fleet) -> Ownership:
+    """Compute which balancer owns which hash slot."""
+    return assign_slots(
+        Member(balancer.name, balancer.data_centre, '', 0, 0)
+        for balancer in fleet.balancers.values()
+    )
+
+
+def find_request_key(request: dict[str, Any], plan: ServicePlan) -> bytes:
+    """Return the flow key of a request in a report."""
+    host, port = request['local']
+    address = parse_address(plan.address)
+    return build_flow_key(host, address, port, REQUEST_PORT)
+
+
+def find_owner(
+    ownership: Ownership,
+    request: dict[str, Any],
+    plan: ServicePlan,
+) -> str:
+    """Return the name of the balancer that owned a request's flow."""
+    slot = get_hash_slot(find_request_key(request, plan))
+    return ownership.owners[slot]
+
+
+def kill_balancer(trial: Trial, name: str) -> None:
+    """Kill a balancer; the fabric learns it once the others know."""
+    kill_process(trial.fleet.balancers[name].process)
+    wait_for_members(trial.fleet, name)
+    trial.fleet.balancers.pop(name)
+    update_fabric(trial.fleet)
+
+
+def retire_balancer(trial: Trial, name: str) -> float:
+    """Stop a balancer gracefully, as the platform does.
+
+    Parameters
+    ----------
+    trial : Trial
+        The fleet.
+    name : str
+        Name of the balancer.
+
+    Returns
+    -------
+    float
+        Seconds until the process had ended.
+    """
+    balancer = trial.fleet.balancers.pop(name)
+    started_at = time.monotonic()
+    # The fabric's table changes first, as for a planned replacement.
+    update_fabric(trial.fleet)
+    balancer.process.popen.terminate()
+    wait_until(
+        lambda: balancer.process.popen.poll() is not None,
+        f'{name} ends',
+        _SETTLE_SECONDS,
+    )
+    return time.monotonic() - started_at
+
+
+def stop_server(trial: Trial, name: str, is_killed: bool = False) -> None:
+    """End a backend server and keep what it has run."""
+    server = trial.fleet.servers.pop(name)
+    trial.lost_runs[name] = exchange(server.report_port, '/runs')
+    (kill_process if is_killed else stop_process)(server.process)
+
+
+def find_last_accepted(entry: dict[str, Any], since: float) -> float:
+    """Return how long after a time a backend server got new work.
+
+    Parameters
+    ----------
+    entry : dict
+        Its answer to ``GET /runs``.
+    since : float
+        Wall time in seconds.
+
+    Returns
+    -------
+    float
+        Seconds, zero if there was no new work after it.
+    """
+    last = max((accepted for accepted, _port in entry['accepted']), default=0)
+    return max(last - since, 0)
+
+
+def wait_for(
+    check: Callable[[], bool],
+    subject: str,
+    seconds: float = _SETTLE_SECONDS,
+) -> None:
+    """Wait until a condition of a trial holds."""
+    wait_until(check, subject, seconds)
+
+
+def _start_callers(fleet: Fleet, proxy_port: int) -> int:
+    port, control_port, public_port, public_fabric = pick_free_ports(4)
+    fabric_port = fleet.fabric_port
+    if proxy_port:
+        hide_process(proxy_port, 'callers', public_port, port)
+        hide_process(proxy_port, 'fabric', public_fabric, fabric_port)
+        fabric_port = public_fabric
+    fleet.stack.enter_context(
+        run_module(
+            'testbed.steered_callers',
+            *('--fabric-port', fabric_port, '--port', port),
+            *('--control-port', control_port),
+        ),
+    )
+    wait_for_port(control_port)
+    return control_port
