Hand over open requests to the new owner once it asks for them

Cause: a former owner that answered a lookup went on counting the flow as its own. The new owner got the entry and all later packets, so the former one never saw the end and did not stop for 60 s. A SYN with the key of an ended flow could be placed by the former owner while the new one got the old host. Ruled out: copies without acknowledgement (balsamshed_copies_pending was 0). Change: after a lookup the former owner releases the flow and counts its entry as copied; an owner notes the end of a flow whose entry is still on its way.

--- a/balsamshed/node/peers.py
+++ b/balsamshed/node/peers.py
@@ -196,7 +196,8 @@
     is_feed = route is not None and route.listener.kind == 'feed'
     placement = get_placement(copy.host, is_feed=is_feed, is_copied=True)
     adopt_flow(node.flows, flow_key, placement, now)
-    if is_owner and route is not None:
+    is_over = flow_key in node.flows.ended
+    if is_owner and route is not None and not is_over:
         node.flows.opened_at[flow_key] = now
         record_opened(node.board, copy.host, route.listener.kind)
         adopt(get_limiter(node, route))
--- a/balsamshed/node/traffic.py
+++ b/balsamshed/node/traffic.py
@@ -152,6 +152,9 @@
     if needs_lookup:
         chain = _build_chain(node, slot, now)
         if chain:
+            if packet.flags & _ENDING_FLAGS:
+                # The entry may come after the last packet of the flow.
+                end_flow(node.flows, packet.flow_key, now)
             relay = Relay(RelayKind.LOOKUP, node.name, chain[1:], packet)
             return (SendRelay(chain[0], relay), CountEvent('lookup'))
     return _decide_finally(node, packet, route, now)
@@ -204,14 +207,15 @@
     now: float,
 ) -> Effects:
     packet = relay.packet
-    placement = node.flows.placements.get(packet.flow_key)
-    if placement is not None:
-        queue_copy(
-            node.copies,
-            relay.asker,
-            FlowCopy(packet.flow_key, placement.host),
-        )
-        return _serve_known(node, packet, route, placement, now)
+    flow_key = packet.flow_key
+    placement = node.flows.placements.get(flow_key)
+    # A SYN with the key of an ended flow opens another one, at its owner.
+    is_new = packet.flags & _SYN and flow_key in node.flows.ended
+    if placement is not None and not is_new:
+        effects = _serve_known(node, packet, route, placement, now)
+        if flow_key not in node.flows.ended:
+            _hand_over(node, flow_key, relay.asker, now)
+        return effects
     if relay.chain:
         onward = Relay(relay.kind, relay.asker, relay.chain[1:], packet)
         return (SendRelay(relay.chain[0], onward),)
@@ -219,6 +223,23 @@
     return (SendRelay(relay.asker, returned),)
 
 
+def _hand_over(node: Node, flow_key: bytes, asker: str, now: float) -> None:
+    """Give the entry of an open flow to the owner that asked for it."""
+    placement = node.flows.placements.get(flow_key)
+    if placement is None:
+        return
+    queue_copy(node.copies, asker, FlowCopy(flow_key, placement.host))
+    owner = node.ownership.owners[get_hash_slot(flow_key)]
+    if owner != node.name:
+        # Later packets, also the last one, no longer come here.
+        release_flow(node, flow_key, Outcome.UNKNOWN, now)
+        node.flows.placements[flow_key] = get_placement(
+            placement.host,
+            is_feed=placement.is_feed,
+            is_copied=True,
+        )
+
+
 def _decide_finally(
     node: Node,
     packet: Packet,
