Do not judge flows of a group that a new balancer does not know yet

Cause: a balancer that the fabric knows before it has found its group owns every hash slot in its own view. It answered packets of open feeds with a reset (logged: owner itself, no backup, no former owner). One that has joined also did not know the owners before it, since it never saw that assignment. Ruled out: lost copies; the entries were present at their owners. Change: a process with addresses to search drops packets of unknown flows until it has had a protocol period with its first contact, or 5 s without one; the sender repeats them. A new member takes the assignment without itself as the one before, so its lookup chain reaches the former owner.

--- a/balsamshed/members/history.py
+++ b/balsamshed/members/history.py
@@ -77,6 +77,30 @@
     return True
 
 
+def note_absence(
+    history: OwnershipHistory,
+    others: Iterable[Member],
+    now: float,
+) -> None:
+    """Note who owned the hash slots while this member was not there.
+
+    A member that joins, or was paused, has not seen that assignment.
+
+    Parameters
+    ----------
+    history : OwnershipHistory
+        Changed in place.
+    others : iterable of Member
+        The members without the own one, at least one.
+    now : float
+        Monotonic seconds.
+    """
+    assigned = assign_slots(others)
+    if any(entry.ownership == assigned for entry in history.former):
+        return
+    history.former.insert(0, FormerOwnership(assigned, now))
+
+
 def list_former_owners(
     history: OwnershipHistory,
     slot: int,
--- a/balsamshed/node/ownership.py
+++ b/balsamshed/node/ownership.py
@@ -7,7 +7,11 @@
 from balsamshed.flows.messages import FlowCopy
 from balsamshed.flows.table import Placement
 from balsamshed.limits.limiter import Outcome, adopt
-from balsamshed.members.history import replace_ownership
+from balsamshed.members.history import (
+    KEPT_SECONDS,
+    note_absence,
+    replace_ownership,
+)
 from balsamshed.members.membership import list_owners, list_reachable
 from balsamshed.members.ownership import get_hash_slot
 from balsamshed.node.effects import Effect, LogEvent
@@ -21,6 +25,12 @@
 
 #: Entries checked in one tick after a membership change: about 2 ms.
 HANDOFF_ENTRIES: Final = 2000
+#: A process without peers looks for its group this long before it takes
+#: itself for the only member: one sweep of all addresses.
+SEARCH_SECONDS: Final = 5.0
+#: After its first contact a member learns of the others within this time:
+#: one protocol period.
+JOIN_SECONDS: Final = 0.5
 
 
 def update_ownership(node: Node, now: float) -> tuple[Effect, ...]:
@@ -46,7 +56,12 @@
         if target not in node.reachable:
             drop_member(node.copies, target)
     set_member_count(node.board, max(len(owners), 1))
+    if len(reachable) > 1 and node.joined_at is None:
+        node.joined_at = now
+    former = node.ownership
     if owners and replace_ownership(node.history, owners, now):
+        node.former_ownership = former
+        note_own_absence(node, now)
         node.handoff = iter(tuple(node.flows.placements.items()))
     fields = {
         'owners': len(owners),
@@ -56,6 +71,48 @@
     return (LogEvent('members_changed', fields),)
 
 
+def note_own_absence(node: Node, now: float) -> None:
+    """Note the assignment without this member if it came back just now.
+
+    Parameters
+    ----------
+    node : Node
+        Changed in place.
+    now : float
+        Monotonic seconds.
+    """
+    if now - node.present_since >= KEPT_SECONDS:
+        return
+    owners = list_owners(node.membership)
+    others = [member for member in owners if member.name != node.name]
+    if others and len(others) < len(owners):
+        note_absence(node.history, others, now)
+
+
+def is_joining(node: Node, now: float) -> bool:
+    """Tell whether this member does not know its group yet.
+
+    It must not judge flows that others have placed: a reset would end them,
+    whereas a dropped packet comes again.
+
+    Parameters
+    ----------
+    node : Node
+        The node.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    bool
+        False also for a process that has no address to look for its group.
+    """
+    if node.joined_at is not None:
+        return now - node.joined_at < JOIN_SECONDS
+    has_addresses = node.membership.seeds or node.membership.hints
+    return bool(has_addresses) and now - node.present_since < SEARCH_SECONDS
+
+
 def hand_off_entries(node: Node, limit: int, now: float) -> None:
     """Bring some entries to their new owner and backup.
 
@@ -88,7 +145,7 @@
         _count_flow(node, flow_key, placement, now)
         queue_copy(node.copies, backup, copy)
         return
-    former = node.history.former[0].ownership
+    former = node.former_ownership
     was_owner = former.owners[slot] == node.name
     owner_is_gone = former.owners[slot] not in node.reachable
     if was_owner:
--- a/balsamshed/node/state.py
+++ b/balsamshed/node/state.py
@@ -57,6 +57,12 @@
         Entries of flows.
     copies : CopyQueue
         Copies of entries for other members.
+    former_ownership : Ownership
+        The assignment before the current one.
+    present_since : float
+        Monotonic seconds of the start.
+    joined_at : float or None
+        Monotonic seconds of the first contact since then; None without.
     handoff : iterator
         Entries still to be checked after a membership change.
     candidates : CandidateHistory
@@ -107,6 +113,9 @@
     session: StoreSession
     fleet: FleetStatus
     overload: OverloadState
+    former_ownership: Ownership
+    present_since: float
+    joined_at: float | None = None
     view_version: int = -1
     reachable: frozenset[str] = frozenset()
     handoff: Iterator[tuple[bytes, Placement]] = field(
@@ -164,6 +173,7 @@
     board = LoadBoard()
     # Batches of a restarted process continue above those of the former one.
     copies = CopyQueue(int(wall_time * 1000), refilled_at=now)
+    ownership = assign_slots((own,))
     return Node(
         name=own.name,
         data_centre=own.data_centre,
@@ -172,7 +182,9 @@
         catalog=catalog,
         routing=derive_routing_table(catalog),
         membership=create_membership(own, seeds, draw),
-        history=OwnershipHistory(assign_slots((own,))),
+        history=OwnershipHistory(ownership),
+        former_ownership=ownership,
+        present_since=now,
         flows=FlowTable(),
         copies=copies,
         candidates=CandidateHistory(now),
--- a/balsamshed/node/traffic.py
+++ b/balsamshed/node/traffic.py
@@ -39,6 +39,7 @@
     open_flow,
     repeat_opening,
 )
+from balsamshed.node.ownership import is_joining
 from balsamshed.node.releases import forget_flow, release_flow
 from balsamshed.node.state import Node
 from balsamshed.placement.candidates import list_candidates
@@ -249,6 +250,8 @@
     placement = node.flows.placements.get(packet.flow_key)
     if placement is not None:
         return _serve_known(node, packet, route, placement, now)
+    if is_joining(node, now):
+        return (Drop('joining'),)
     if packet.flags & _SYN:
         return open_flow(node, packet, route, now)
     if packet.flags & TcpFlag.RST:
