Ask others about flows after a pause of the process

Ruled out: waiting for the next membership change, since the process learns late that others took over. Change: packets that queued during a pause are dropped, entries are checked through the lookup chain at first use, and a copy replaces an unconfirmed one.

--- a/balsamshed/flows/table.py
+++ b/balsamshed/flows/table.py
@@ -73,6 +73,8 @@
         Monotonic seconds of the SYN, for open request flows of this owner.
     ended : dict of bytes to float
         Monotonic seconds at which the entry of an ended flow goes.
+    unconfirmed : set of bytes
+        Flows that another owner may have placed anew during a pause.
     """
 
     placements: dict[bytes, Placement] = field(default_factory=dict)
@@ -80,6 +82,7 @@
     openings: dict[bytes, Opening] = field(default_factory=dict)
     opened_at: dict[bytes, float] = field(default_factory=dict)
     ended: dict[bytes, float] = field(default_factory=dict)
+    unconfirmed: set[bytes] = field(default_factory=set)
 
 
 @lru_cache(maxsize=65536)
@@ -136,6 +139,7 @@
     table.placements[flow_key] = placement
     table.last_seen[flow_key] = now
     table.openings.pop(flow_key, None)
+    table.unconfirmed.discard(flow_key)
 
 
 def end_flow(table: FlowTable, flow_key: bytes, now: float) -> bool:
@@ -180,6 +184,7 @@
     table.openings.pop(flow_key, None)
     table.opened_at.pop(flow_key, None)
     table.ended.pop(flow_key, None)
+    table.unconfirmed.discard(flow_key)
     return table.placements.pop(flow_key, None)
 
 
--- a/balsamshed/node/dispatch.py
+++ b/balsamshed/node/dispatch.py
@@ -4,7 +4,8 @@
 from types import MappingProxyType
 from typing import Any
 
-from balsamshed.node.effects import Effect
+from balsamshed.members.protocol import PAUSE_SECONDS, TICK_SECONDS
+from balsamshed.node.effects import Drop, Effect
 from balsamshed.node.events import (
     Event,
     LeaveRequested,
@@ -39,6 +40,9 @@
 
 Effects = tuple[Effect, ...]
 
+_PACKETS = (PacketReceived, RelayReceived)
+_QUEUED_DURING_PAUSE: Effects = (Drop('queued_during_pause'),)
+
 
 def handle_event(node: Node, event: Event, now: float) -> Effects:
     """Decide what follows from an event.
@@ -57,9 +61,20 @@
     tuple of Effect
         What is to be done, in this order.
     """
+    if isinstance(event, _PACKETS) and _was_paused(node, now):
+        # Queued while the process did not run; others may have decided on
+        # the same flows by now, and a sender repeats what is lost.
+        return _QUEUED_DURING_PAUSE
     return _HANDLERS[type(event)](node, event, now)
 
 
+def _was_paused(node: Node, now: float) -> bool:
+    ticked_at = node.membership.ticked_at
+    if ticked_at is None:
+        return False
+    return now - ticked_at > PAUSE_SECONDS + TICK_SECONDS
+
+
 def _handle_load_report(
     node: Node,
     event: LoadReported,
--- a/balsamshed/node/peers.py
+++ b/balsamshed/node/peers.py
@@ -186,7 +186,8 @@
 def _apply_copy(node: Node, copy: FlowCopy, now: float) -> None:
     flow_key = copy.flow_key
     is_owner = node.ownership.owners[get_hash_slot(flow_key)] == node.name
-    if is_owner and flow_key in node.flows.placements:
+    is_confirmed = flow_key not in node.flows.unconfirmed
+    if is_owner and is_confirmed and flow_key in node.flows.placements:
         # The owner's own entry is newer than any copy.
         return
     if not copy.host:
--- a/balsamshed/node/state.py
+++ b/balsamshed/node/state.py
@@ -60,7 +60,7 @@
     former_ownership : Ownership
         The assignment before the current one.
     present_since : float
-        Monotonic seconds of the start.
+        Monotonic seconds of the start, or of the end of the last pause.
     joined_at : float or None
         Monotonic seconds of the first contact since then; None without.
     handoff : iterator
--- a/balsamshed/node/traffic.py
+++ b/balsamshed/node/traffic.py
@@ -141,14 +141,14 @@
     now: float,
 ) -> Effects:
     placement = node.flows.placements.get(packet.flow_key)
-    if placement is not None:
+    is_confirmed = packet.flow_key not in node.flows.unconfirmed
+    if placement is not None and is_confirmed:
         return _serve_known(node, packet, route, placement, now)
     slot = get_hash_slot(packet.flow_key)
-    needs_lookup = not packet.flags & _SYN or changed_owner(
-        node.history,
-        slot,
-        now,
-        SYN_REPEAT_SECONDS,
+    needs_lookup = (
+        placement is not None
+        or not packet.flags & _SYN
+        or changed_owner(node.history, slot, now, SYN_REPEAT_SECONDS)
     )
     if needs_lookup:
         chain = _build_chain(node, slot, now)
@@ -247,6 +247,7 @@
     route: Route,
     now: float,
 ) -> Effects:
+    node.flows.unconfirmed.discard(packet.flow_key)
     placement = node.flows.placements.get(packet.flow_key)
     if placement is not None:
         return _serve_known(node, packet, route, placement, now)
--- a/balsamshed/node/upkeep.py
+++ b/balsamshed/node/upkeep.py
@@ -35,6 +35,7 @@
 from balsamshed.node.ownership import (
     HANDOFF_ENTRIES,
     hand_off_entries,
+    note_own_absence,
     update_ownership,
 )
 from balsamshed.node.peers import send_outgoing
@@ -146,8 +147,7 @@
             fields = {'late_seconds': round(outcome.late_seconds, 3)}
             effects.append(LogEvent('process_paused', fields))
             effects.append(CountEvent('process_paused'))
-            # Limits learned before the pause say nothing about the present.
-            node.limiters.clear()
+            _resume(node, now)
         else:
             effects.append(send_outgoing(outcome))
     if node.membership.view_version != node.view_version:
@@ -156,6 +156,16 @@
     return effects
 
 
+def _resume(node: Node, now: float) -> None:
+    """Start over after a pause, in which others may have taken over."""
+    # Limits learned before the pause say nothing about the present.
+    node.limiters.clear()
+    node.flows.unconfirmed.update(node.flows.placements)
+    node.present_since = now
+    node.joined_at = now
+    note_own_absence(node, now)
+
+
 def _end_flows(node: Node, now: float) -> None:
     for flow_key in list_ended(node.flows, now):
         forget_flow(node, flow_key, Outcome.UNKNOWN, now)
