--- a/balsamshed/node/peers.py
+++ b/balsamshed/node/peers.py
@@ -185,7 +185,8 @@
 def _apply_copy(node: Node, copy: FlowCopy, now: float) -> None:
     flow_key = copy.flow_key
     is_owner = node.ownership.owners[get_hash_slot(flow_key)] == node.name
-    if is_owner and flow_key in node.flows.placements:
+    is_confirmed = flow_key not in node.flows.unconfirmed
+    if is_owner and is_confirmed and flow_key in node.flows.placements:
         # The owner's own entry is newer than any copy.
         return
     if not copy.host:
@@ -195,7 +196,7 @@
     is_feed = route is not None and route.listener.kind == 'feed'
     placement = get_placement(copy.host, is_feed=is_feed, is_copied=True)
     adopt_flow(node.flows, flow_key, placement, now)
-    if is_owner:
+    if is_owner and flow_key not in node.flows.ended:
         count_adopted_feed(node, flow_key, now)
 
 
--- a/balsamshed/node/tests/builders.py
+++ b/balsamshed/node/tests/builders.py
@@ -80,7 +80,14 @@
     )
 
 
+def advance(node, now):
+    """Tick as often as a process that is never paused."""
+    while node.membership.ticked_at + 0.5 < now:
+        tick(node, node.membership.ticked_at + 0.5)
+
+
 def receive(node, packet, now):
+    advance(node, now)
     return handle_event(node, PacketReceived(packet), now)
 
 
--- a/balsamshed/node/tests/test_traffic.py
+++ b/balsamshed/node/tests/test_traffic.py
@@ -21,6 +21,7 @@
     ADDRESS,
     FEED_PORT,
     FIRST_HOST,
+    advance,
     make_node,
     make_packet,
     make_refusal,
@@ -133,7 +134,7 @@
     node = make_node()
     young = receive(node, make_packet(ACK), 30.0)
     assert isinstance(young[0], RefuseFlow)
-    tick(node, 100.0)
+    advance(node, 100.0)
     default = open_flow(node, 100.0, caller_port=41000)
     node.flows.placements.clear()
     known = receive(node, make_packet(ACK, caller_port=41000), 101.0)
--- a/balsamshed/node/traffic.py
+++ b/balsamshed/node/traffic.py
@@ -43,6 +43,7 @@
     open_flow,
     repeat_opening,
 )
+from balsamshed.node.ownership import is_joining
 from balsamshed.node.releases import forget_flow, release_flow
 from balsamshed.node.state import Node
 from balsamshed.placement.candidates import list_candidates
@@ -146,18 +147,21 @@
     now: float,
 ) -> Effects:
     placement = node.flows.placements.get(packet.flow_key)
-    if placement is not None:
+    is_confirmed = packet.flow_key not in node.flows.unconfirmed
+    if placement is not None and is_confirmed:
         return _serve_known(node, packet, route, placement, now)
     slot = get_hash_slot(packet.flow_key)
-    needs_lookup = not packet.flags & _SYN or changed_owner(
-        node.history,
-        slot,
-        now,
-        SYN_REPEAT_SECONDS,
+    needs_lookup = (
+        placement is not None
+        or not packet.flags & _SYN
+        or changed_owner(node.history, slot, now, SYN_REPEAT_SECONDS)
     )
     if needs_lookup:
         chain = _build_chain(node, slot, now)
         if chain:
+            if packet.flags & _ENDING_FLAGS:
+                # The entry may come after the last packet of the flow.
+                end_flow(node.flows, packet.flow_key, now)
             relay = Relay(RelayKind.LOOKUP, node.name, chain[1:], packet)
             return (SendRelay(chain[0], relay), CountEvent('lookup'))
     return _decide_finally(node, packet, route, now)
@@ -210,10 +214,15 @@
     now: float,
 ) -> Effects:
     packet = relay.packet
-    placement = node.flows.placements.get(packet.flow_key)
-    if placement is not None:
-        _give_away(node, relay, placement)
-        return _serve_known(node, packet, route, placement, now)
+    flow_key = packet.flow_key
+    placement = node.flows.placements.get(flow_key)
+    # A SYN with the key of an ended flow opens another one, at its owner.
+    is_new = packet.flags & _SYN and flow_key in node.flows.ended
+    if placement is not None and not is_new:
+        effects = _serve_known(node, packet, route, placement, now)
+        if flow_key not in node.flows.ended:
+            _hand_over(node, flow_key, relay.asker, now)
+        return effects
     if relay.chain:
         onward = Relay(relay.kind, relay.asker, relay.chain[1:], packet)
         return (SendRelay(relay.chain[0], onward),)
@@ -221,17 +230,21 @@
     return (SendRelay(relay.asker, returned),)
 
 
-def _give_away(node: Node, relay: Relay, placement: Placement) -> None:
-    flow_key = relay.packet.flow_key
-    copy = FlowCopy(flow_key, placement.host)
-    queue_copy(node.copies, relay.asker, copy)
-    # The asker holds the entry from now on, so that a leaving node need not
-    # wait for the flow's end.
-    node.flows.placements[flow_key] = get_placement(
-        placement.host,
-        is_feed=placement.is_feed,
-        is_copied=True,
-    )
+def _hand_over(node: Node, flow_key: bytes, asker: str, now: float) -> None:
+    """Give the entry of an open flow to the owner that asked for it."""
+    placement = node.flows.placements.get(flow_key)
+    if placement is None:
+        return
+    queue_copy(node.copies, asker, FlowCopy(flow_key, placement.host))
+    owner = node.ownership.owners[get_hash_slot(flow_key)]
+    if owner != node.name:
+        # Later packets, also the last one, no longer come here.
+        release_flow(node, flow_key, Outcome.UNKNOWN, now)
+        node.flows.placements[flow_key] = get_placement(
+            placement.host,
+            is_feed=placement.is_feed,
+            is_copied=True,
+        )
 
 
 def _decide_finally(
@@ -240,11 +253,23 @@
     route: Route,
     now: float,
 ) -> Effects:
+    node.flows.unconfirmed.discard(packet.flow_key)
     placement = node.flows.placements.get(packet.flow_key)
     if placement is not None:
         return _serve_known(node, packet, route, placement, now)
+    if is_joining(node, now):
+        return (Drop('joining'),)
     if packet.flags & _SYN:
         return open_flow(node, packet, route, now)
+    return _serve_unknown(node, packet, route, now)
+
+
+def _serve_unknown(
+    node: Node,
+    packet: Packet,
+    route: Route,
+    now: float,
+) -> Effects:
     if packet.flags & TcpFlag.RST:
         return (Drop('reset_of_unknown_flow'),)
     if route.listener.kind is ListenerKind.FEED:
