Bound the pings and reads that grow with the list of VMs

The list has the VMs of all groups. A reader took each as a hint, pinged every one that is not a member each 5 s and read the list every 10 s. With 11,000 VMs that is 399 KB/s sent and 130 KB/s read, of 5 KB/s.

A reader with peers reads at most 10 VMs a second, so the full list every 18 minutes; one without peers reads it every 10 s. Ruled out: a filter by group, which the list cannot express.

--- a/balsamshed/members/protocol.py
+++ b/balsamshed/members/protocol.py
@@ -52,6 +52,9 @@
 FORGET_SECONDS: Final = 24 * 3600.0
 # Addresses of the VM list that a member without a group pings in a period.
 _HINTS_IN_PERIOD: Final = 6
+# Addresses of the VM list that are pinged in a sweep. The list has the VMs of
+# all groups: pinging 11,000 of them took 400 KB/s of the 5 KB/s for control.
+_HINTS_IN_SWEEP: Final = 16
 # Ticks are timers: sums of floating-point numbers fall short of a limit.
 _ROUNDING_SECONDS: Final = 0.001
 
@@ -358,17 +361,23 @@
 
 
 def _ping_unreachable(membership: Membership) -> list[Outgoing]:
-    """Ping the dead and every known address that has no reachable member.
+    """Ping the dead, the seeds, and some of the listed VMs.
 
-    Both sides of a healed partition find each other by these pings.
+    Both sides of a healed partition find each other by the pings to the dead.
+    Addresses of reachable members are left out.
     """
     dead = [membership.peers[name] for name in membership.died_at]
     known = {get_address(peer) for peer in list_reachable_peers(membership)}
     known.update(map(get_address, dead))
-    addresses = (membership.seeds | membership.hints) - known
+    hints = pick_some(
+        sorted(membership.hints - membership.seeds - known),
+        _HINTS_IN_SWEEP,
+        membership.draw,
+    )
+    addresses = (*sorted(membership.seeds - known), *hints)
     return [
         *(ping_member(membership, peer) for peer in dead),
-        *(create_ping(membership, address) for address in sorted(addresses)),
+        *(create_ping(membership, address) for address in addresses),
     ]
 
 
--- a/balsamshed/members/tests/test_protocol.py
+++ b/balsamshed/members/tests/test_protocol.py
@@ -289,3 +289,29 @@
     version = network.processes[NAMES[2]].membership.view_version
     network.run(60 * PERIOD_SECONDS)
     assert network.processes[NAMES[2]].membership.view_version == version
+
+
+def test_a_sweep_pings_few_of_many_listed_vms():
+    """The list has the VMs of all groups, 11,000 at the target size."""
+    network = start_network(size=3)
+    listed = [create_member(index, life=7) for index in range(2000)]
+    listed = [
+        replace(vm, host=f'10.30.{index // 250}.{index % 250}')
+        for index, vm in enumerate(listed)
+    ]
+    own_hosts = {
+        process.membership.own.host for process in network.processes.values()
+    }
+    pinged = []
+
+    def note_ping(source, outgoing):
+        if source == NAMES[0] and outgoing.host not in own_hosts:
+            pinged.append(outgoing.host)
+
+    add_hints(network.processes[NAMES[0]].membership, listed)
+    network.sent = note_ping
+    network.run(100)
+    sweeps = 20
+    assert sweeps <= len(pinged) <= 16 * (sweeps + 1)
+    # Each sweep picks others, so that every address has its turn.
+    assert len(set(pinged)) > 0.8 * len(pinged)
--- a/balsamshed/node/upkeep.py
+++ b/balsamshed/node/upkeep.py
@@ -62,6 +62,9 @@
 IDLE_SCAN_ENTRIES: Final = 2000
 #: Members for which reports are sent each second.
 REPORT_MEMBERS_PER_SECOND: Final = 16
+#: VMs that a reader with peers has listed each second. An entry takes 118
+#: bytes, and the list has the VMs of all groups.
+LISTED_VMS_PER_SECOND: Final = 10
 
 _MEMBERSHIP_SECONDS: Final = 0.1
 _STORE_SECONDS: Final = 0.1
@@ -224,7 +227,12 @@
 
 
 def _list_vms(node: Node, now: float) -> list[Effect]:
-    return [ListVms()] if is_reader(node) else []
+    if not is_reader(node):
+        return []
+    if list_reachable_peers(node.membership):
+        interval = len(node.membership.hints) / LISTED_VMS_PER_SECOND
+        node.due_at['vms'] = now + max(interval, _VMS_SECONDS)
+    return [ListVms()]
 
 
 def _write_status(node: Node, now: float) -> list[Effect]:
