--- a/testbed/configuration.py
+++ b/testbed/configuration.py
@@ -111,8 +111,13 @@
 
 def read_object(fleet: Fleet, key: str) -> dict[str, Any]:
     """Return an object of the group with its version, empty if missing."""
+    return read_key(fleet, f'{GROUP}/{key}')
+
+
+def read_key(fleet: Fleet, key: str) -> dict[str, Any]:
+    """Return any object with its version, empty if missing."""
     try:
-        found = exchange(fleet.store_port, f'/v1/objects/{GROUP}/{key}')
+        found = exchange(fleet.store_port, f'/v1/objects/{key}')
     except HTTPError as error:
         if error.code == HTTPStatus.NOT_FOUND:
             return {}
--- a/testbed/tests/test_operator_failures.py
+++ b/testbed/tests/test_operator_failures.py
@@ -13,6 +13,7 @@
     NO_FAULTS,
     declare_without_servers,
     measure_in_force,
+    read_key,
     read_object,
     read_status,
     run_balancers,
@@ -318,9 +319,10 @@
         assert replaced[1:] == [entry['version'] for entry in changes[:-1]]
         for entry in changes:
             assert entry['who'] and entry['when']
-            key = f'audit/backend_server.creneau-1.{entry["version"]}'
-            wait_until(lambda key=key: read_object(fleet, key), key, 5)
-            spec = read_object(fleet, key)['body']['spec']
+            name = f'backend_server.creneau-1.{entry["version"]}'
+            key = f'audit/{GROUP}/{name}'
+            wait_until(lambda key=key: read_key(fleet, key), key, 5)
+            spec = read_key(fleet, key)['body']['spec']
             assert spec['key'] == f'{GROUP}/backend_server/creneau-1'
             assert spec['change_id'] == entry['change_id']
             assert spec['who'] == entry['who']
