Build one file to ship and check it as a balancer

Cause: make build named a module that did not exist. Change: testbed/build.py installs the run-time packages of requirements.in and what they need, each pinned by requirements.lock, without dependencies and build isolation, and packs them with shiv; a package that the lock file lacks ends the build. balsamshed version shows commit and time of the build, or "unbuilt" in a checkout. testbed/check_build.py starts the file twice with a new SHIV_ROOT, as a balancer without the packages of this environment. The modules are compiled by the build, with hashes that are not checked, since extracted files have new times. Another minor version of Python than that of the build compiles them in memory at each start.

--- a/balsamshed/commands/local.py
+++ b/balsamshed/commands/local.py
@@ -1,9 +1,10 @@
 """Commands that need no store."""
 
 import sys
+from dataclasses import asdict
 from typing import Literal
 
-from balsamshed import __version__
+from balsamshed.builds import read_build_info
 from balsamshed.commands.rendering import format_json, format_table
 from balsamshed.commands.running import run_process, show_findings
 from balsamshed.commands.sessions import Output
@@ -84,7 +85,7 @@
 
 
 def version(*, output: Literal['table', 'json'] = 'table') -> int:
-    """Show the version of this program.
+    """Show the version of this program and what it was built from.
 
     Parameters
     ----------
@@ -96,8 +97,14 @@
     int
         Exit status.
     """
-    text = f'balsamshed {__version__}'
-    _write(format_json({'version': __version__}) if output == 'json' else text)
+    build = read_build_info()
+    if output == 'json':
+        _write(format_json(asdict(build)))
+    else:
+        _write(
+            f'balsamshed {build.version} '
+            f'commit={build.commit} built_at={build.built_at}',
+        )
     return ExitStatus.DONE
 
 
--- /dev/null
+++ b/testbed/tests/test_build.py
@@ -0,0 +1,43 @@
+"""Guards against a built file with the wrong packages or no origin."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from balsamshed import __version__, builds
+from testbed.build import list_requirements
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+def read_names(wanted=None):
+    text = wanted or (ROOT / 'requirements.in').read_text()
+    locked = (ROOT / 'requirements.lock').read_text()
+    pinned = list_requirements(text, locked)
+    assert set(pinned) <= set(locked.splitlines())
+    return {line.partition('==')[0].lower() for line in pinned}
+
+
+def test_only_run_time_packages_are_shipped():
+    """Entry VMs have no disk: what is not needed takes their memory."""
+    names = read_names()
+    assert {'twisted', 'thrift', 'attrs', 'zope.interface'} <= names
+    unshipped = {'treq', 'pyopenssl', 'cryptography', 'service-identity'}
+    assert not names & (unshipped | {'pytest', 'shiv', 'mypy'})
+
+
+def test_packages_outside_the_lock_file_are_not_fetched():
+    """A package that no one pinned could change from build to build."""
+    with pytest.raises(KeyError):
+        read_names('twisted\nunpinned-package\n')
+
+
+def test_origin_is_shown(tmp_path, monkeypatch):
+    """An operator must see which commit a balancer runs."""
+    monkeypatch.setattr(builds, 'files', lambda _package: tmp_path)
+    unbuilt = builds.BuildInfo(__version__, builds.UNBUILT, builds.UNBUILT)
+    assert builds.read_build_info() == unbuilt
+    facts = {'commit': 'abc', 'built_at': '2026-12-04T09:00:00+00:00'}
+    (tmp_path / builds.BUILD_FILE).write_text(json.dumps(facts))
+    assert builds.read_build_info() == builds.BuildInfo(__version__, **facts)
