Count refused and reset flows by reason

Cause: of 12 event names that balsamshed/node counts, 8 had no counter of their own and appeared only in balsamshed_events_total, while the counters of refused, reset and retried flows waited for names that nothing counts and always showed 0. Change: the names map to balsamshed_flows_refused_total with the reasons overload, limit, no_backend_server and by_backend_server, balsamshed_flows_reset_total with host_gone and unknown_flow, balsamshed_flows_retried_total, and looked-up packets. A test reads the calls of CountEvent in balsamshed/node and compares their names with the mapping, in both directions for refused, reset and retried flows. A changed test: the one on independent sets counted flow_reset, which is no name any more; it now counts flow_reset_unknown and also checks that the first set shows 1. Ruled out: names built at run time, which no test could compare. Conclusion: other mapped names, such as packet_forwarded, are still counted by nothing and show 0; the reverse comparison leaves them out.

--- a/balsamshed/front_ends/metrics.py
+++ b/balsamshed/front_ends/metrics.py
@@ -22,8 +22,12 @@
         'balsamshed_flows_unprotected_total': (
             'Flows placed off the default while the copy budget was used up.'
         ),
-        'balsamshed_flows_refused_total': 'New flows refused as not run.',
-        'balsamshed_flows_reset_total': 'Open flows answered with a reset.',
+        'balsamshed_flows_refused_total': (
+            'New flows refused as not run, by reason.'
+        ),
+        'balsamshed_flows_reset_total': (
+            'Open flows answered with a reset, by reason.'
+        ),
         'balsamshed_flows_retried_total': (
             'Refused connections tried on another backend server.'
         ),
@@ -87,7 +91,7 @@
                 {'path': 'forwarded'},
             ),
             'packet_relayed': ('balsamshed_packets_total', {'path': 'relayed'}),
-            'packet_looked_up': (
+            'lookup': (
                 'balsamshed_packets_total',
                 {'path': 'looked_up'},
             ),
@@ -112,9 +116,31 @@
                 {'source': 'copy'},
             ),
             'flow_unprotected': ('balsamshed_flows_unprotected_total', {}),
-            'flow_refused': ('balsamshed_flows_refused_total', {}),
-            'flow_reset': ('balsamshed_flows_reset_total', {}),
-            'flow_retried': ('balsamshed_flows_retried_total', {}),
+            'refused_overload': (
+                'balsamshed_flows_refused_total',
+                {'reason': 'overload'},
+            ),
+            'refused_limit': (
+                'balsamshed_flows_refused_total',
+                {'reason': 'limit'},
+            ),
+            'refused_no_backend_server': (
+                'balsamshed_flows_refused_total',
+                {'reason': 'no_backend_server'},
+            ),
+            'refused_by_backend_server': (
+                'balsamshed_flows_refused_total',
+                {'reason': 'by_backend_server'},
+            ),
+            'flow_reset_host_gone': (
+                'balsamshed_flows_reset_total',
+                {'reason': 'host_gone'},
+            ),
+            'flow_reset_unknown': (
+                'balsamshed_flows_reset_total',
+                {'reason': 'unknown_flow'},
+            ),
+            'opening_retried': ('balsamshed_flows_retried_total', {}),
             'copy_sent': (
                 'balsamshed_flow_copies_total',
                 {'direction': 'sent'},
--- a/balsamshed/front_ends/tests/test_metrics.py
+++ b/balsamshed/front_ends/tests/test_metrics.py
@@ -1,13 +1,16 @@
 """Guards against metrics that lie, break the format or slow packets down."""
 
+import ast
 import re
 import subprocess
 import sys
 import timeit
+from pathlib import Path
 
 import pytest
 from treq.testing import StubTreq
 
+import balsamshed
 from balsamshed.front_ends.metrics import (
     COUNTERS,
     EVENT_COUNTERS,
@@ -96,8 +99,58 @@
 def test_sets_of_metrics_are_independent():
     """Two balancers in one process must not add up."""
     first = create_metrics()
-    first.count_event('flow_reset')
-    assert 'balsamshed_flows_reset_total 0\n' in render(create_metrics())
+    first.count_event('flow_reset_unknown')
+    line = 'balsamshed_flows_reset_total{reason="unknown_flow"}'
+    assert f'{line} 1\n' in render(first)
+    assert f'{line} 0\n' in render(create_metrics())
+
+
+def list_counted_names():
+    """Return the names in calls of CountEvent in the decision packages."""
+    names = set()
+    for path in (Path(balsamshed.__file__).parent / 'node').glob('*.py'):
+        for call in ast.walk(ast.parse(path.read_text('utf-8'))):
+            if isinstance(call, ast.Call) and (
+                getattr(call.func, 'id', None) == 'CountEvent'
+            ):
+                (name,) = call.args
+                # A name that is put together could not be compared.
+                assert isinstance(name, ast.Constant), (path.name, call.lineno)
+                names.add(name.value)
+    return names
+
+
+def test_each_event_that_a_node_counts_has_a_counter():
+    """A renamed event would leave its counter at zero."""
+    names = list_counted_names()
+    assert len(names) >= 12
+    assert names - set(EVENT_COUNTERS) == set()
+
+
+@pytest.mark.parametrize('subject', ['refused', 'reset', 'retried'])
+def test_each_reason_is_counted_by_the_node(subject):
+    """A reason that nothing counts would look like one that never occurs."""
+    counter = f'balsamshed_flows_{subject}_total'
+    mapped = {
+        name for name, entry in EVENT_COUNTERS.items() if entry[0] == counter
+    }
+    assert mapped
+    assert mapped <= list_counted_names()
+
+
+def test_refusals_are_told_apart_by_their_reason():
+    """Overload needs more balancers, a limit more backend servers."""
+    metrics = create_metrics()
+    metrics.count_event('refused_limit')
+    metrics.count_event('refused_limit')
+    metrics.count_event('refused_overload')
+    text = render(metrics)
+    counter = 'balsamshed_flows_refused_total'
+    assert f'{counter}{{reason="limit"}} 2\n' in text
+    assert f'{counter}{{reason="overload"}} 1\n' in text
+    assert f'{counter}{{reason="no_backend_server"}} 0\n' in text
+    assert f'{counter}{{reason="by_backend_server"}} 0\n' in text
+    assert 'balsamshed_events_total{' not in text
 
 
 def test_counting_is_cheap_enough_for_the_packet_path():
