Count adopted requests at their former owner only

Cause: a new owner counted each adopted request as open. A copy may come after the request's end, and a backup keeps copies of requests that ended in the last 10 s; such counts stayed for 60 s and the listener refused new requests. Adopted requests also looked shorter than they were to the limiter. Ruled out: sheds and slow backend servers, since none was slow. Change: only feeds are counted when they are adopted.

--- a/balsamshed/node/ownership.py
+++ b/balsamshed/node/ownership.py
@@ -165,6 +165,9 @@
     route = find_route(node, flow_key)
     if route is None or flow_key in node.flows.opened_at:
         return
+    if not placement.is_feed:
+        # The request may be over, and its duration is not known.
+        return
     node.flows.opened_at[flow_key] = now
     record_opened(node.board, placement.host, route.listener.kind)
     adopt(get_limiter(node, route))
--- a/balsamshed/node/peers.py
+++ b/balsamshed/node/peers.py
@@ -197,8 +197,8 @@
     is_feed = route is not None and route.listener.kind == 'feed'
     placement = get_placement(copy.host, is_feed=is_feed, is_copied=True)
     adopt_flow(node.flows, flow_key, placement, now)
-    is_over = flow_key in node.flows.ended
-    if is_owner and route is not None and not is_over:
+    # A request may be over, and its duration is not known.
+    if is_owner and route is not None and is_feed:
         node.flows.opened_at[flow_key] = now
         record_opened(node.board, copy.host, route.listener.kind)
         adopt(get_limiter(node, route))
