Write only missing audit objects when a node starts

A starting node is alone in its view, so it is its data centre's first reader when its first list arrives, and wrote the audit objects of all records again: 632 calls with 616 records, whether it became a reader or not. Ruled out: readers only, since all 6 starts that were measured did it.

The list contains the audit objects, so those that it shows are left out.

--- a/balsamshed/node/records.py
+++ b/balsamshed/node/records.py
@@ -68,15 +68,16 @@
     tuple of Effect
         Messages to other members, log lines and audit objects.
     """
+    received = tuple(records)
     known = {key: entry.version for key, entry in node.catalog.records.items()}
-    taken = merge_records(node.catalog, records)
+    taken = merge_records(node.catalog, received)
     if not taken:
         return ()
     apply_catalog(node, now)
     return (
         *(_describe_record(node, record) for record in taken),
         *_spread(node, taken),
-        *_write_audit(node, taken, known),
+        *_write_audit(node, taken, known, received),
     )
 
 
@@ -226,11 +227,16 @@
     node: Node,
     records: tuple[Record, ...],
     known: dict[str, int],
+    received: tuple[Record, ...],
 ) -> list[WriteRecord]:
     if not is_first_reader(node):
         return []
+    # Each starting node is the first reader until it meets another member. A
+    # list has the audit objects too, so that only missing ones are written.
+    present = {record.key for record in received}
     return [
         WriteRecord(entry.key, entry.body, 0)
         for record in records
         for entry in build_audit_records(record, known.get(record.key, 0))
+        if entry.key not in present
     ]
