--- a/testbed/capacity_model.py
+++ b/testbed/capacity_model.py
@@ -58,6 +58,10 @@
 HEADER_BYTES: Final = 28
 #: Wall time at the start, in seconds since the Unix epoch.
 START_WALL_TIME: Final = 1_796_374_800.0
+#: When the first objects were declared, and when changes are made: more and
+#: less than an hour before the start.
+OLD_TIME: Final = '2026-12-04T07:00:00.000000Z'
+RECENT_TIME: Final = '2026-12-04T08:59:00.000000Z'
 
 _KEY: Final = bytes(range(16))
 
@@ -340,7 +344,7 @@
     spec = {**known_body['spec'], 'slots': known_body['spec']['slots'] % 9 + 1}
     changes = [
         *known_body['changes'],
-        _build_change(known.version),
+        _build_change(known.version, RECENT_TIME),
     ]
     body = {**known_body, 'spec': spec, 'changes': changes[-16:]}
     written = write_object(group.platform, key, known.version, body)
@@ -357,11 +361,11 @@
     return {'spec': spec, 'changes': [_build_change(0)], 'deleted': False}
 
 
-def _build_change(version: int) -> dict[str, Any]:
+def _build_change(version: int, when: str = OLD_TIME) -> dict[str, Any]:
     return {
         'change_id': '6f1c2a90-8d55-4f4e-9b5c-0e6a4c1f7d21',
         'who': 'operator@example.net',
-        'when': '2026-12-04T08:00:00.000000Z',
+        'when': when,
         'from_version': version,
         'action': 'apply',
     }
