Ask the members next in rank for a flow after several joined together

Cause: with two members that joined at the same time, neither knew the owners before them. A request that was open then was reset, and its former owner, asked to leave, waited up to a minute for its end: lb-1 did not end within 14 s. A dump showed one open request, last seen just before both joined. Ruled out: pending copies (0), openings, ended flows. Change: after a change of owners the lookup chain also has the four members that rank highest for the hash slot; former owners are among them. A leaving balancer logs what it waits for.

--- a/balsamshed/flows/table.py
+++ b/balsamshed/flows/table.py
@@ -265,9 +265,9 @@
     return now - table.last_seen[flow_key] > limit
 
 
-def has_open_request(table: FlowTable) -> bool:
-    """Tell whether a request flow is open that no other member can find."""
-    return any(
+def count_open_requests(table: FlowTable) -> int:
+    """Count the open request flows that no other member can find."""
+    return sum(
         flow_key not in table.ended and not table.placements[flow_key].is_copied
         for flow_key in table.opened_at
     )
--- a/balsamshed/members/history.py
+++ b/balsamshed/members/history.py
@@ -5,7 +5,11 @@
 from typing import Final
 
 from balsamshed.members.member import Member
-from balsamshed.members.ownership import Ownership, assign_slots
+from balsamshed.members.ownership import (
+    Ownership,
+    assign_slots,
+    rank_for_slot,
+)
 
 #: How long a former owner is asked for entries: the longest request.
 KEPT_SECONDS: Final = 60.0
@@ -123,7 +127,8 @@
     Returns
     -------
     list of str
-        Distinct names, the newest first, without the current owner.
+        Distinct names, the newest first, without the current owner; at most
+        six.
     """
     owners: list[str] = []
     for entry in _list_recent(history, now, KEPT_SECONDS):
@@ -131,7 +136,16 @@
         is_known = owner in owners or owner == history.current.owners[slot]
         if owner in reachable and not is_known:
             owners.append(owner)
-    return owners[:MAX_FORMER_OWNERS]
+    if history.former:
+        # A member that joined together with others never saw the assignment
+        # before them: the owner of that time is the next in rank.
+        ranked = rank_for_slot(reachable, slot)[: MAX_FORMER_OWNERS + 1]
+        owners = [*owners[:MAX_FORMER_OWNERS], *ranked]
+    return [
+        owner
+        for owner in dict.fromkeys(owners)
+        if owner != history.current.owners[slot]
+    ]
 
 
 def changed_owner(
--- a/balsamshed/members/ownership.py
+++ b/balsamshed/members/ownership.py
@@ -109,6 +109,31 @@
     )
 
 
+def rank_for_slot(names: Iterable[str], slot: int) -> list[str]:
+    """Order members by their rank for a hash slot.
+
+    A member that owned the hash slot before others joined ranks next after
+    those that rank above it now.
+
+    Parameters
+    ----------
+    names : iterable of str
+        Names of members.
+    slot : int
+        Hash slot.
+
+    Returns
+    -------
+    list of str
+        Highest rank first; the order in which `assign_slots` prefers them.
+    """
+
+    def get_score(name: str) -> tuple[int, str]:
+        return (_compute_scores(name)[slot], name)
+
+    return sorted(names, key=get_score, reverse=True)
+
+
 def _assign_by_rank(names: list[str]) -> Ownership:
     """Choose the backup among the members of the same data centre."""
     owners = []
--- a/balsamshed/members/tests/test_ownership.py
+++ b/balsamshed/members/tests/test_ownership.py
@@ -3,8 +3,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from balsamshed.members.history import (
+    OwnershipHistory,
+    list_former_owners,
+    note_absence,
+    replace_ownership,
+)
 from balsamshed.members.member import Member
-from balsamshed.members.ownership import assign_slots
+from balsamshed.members.ownership import HASH_SLOT_COUNT, assign_slots
 
 members = st.lists(
     st.builds(
@@ -70,3 +76,24 @@
     ownership = assign_slots([Member('a', 'qc-1', '10.0.0.1', 7000, 7001)])
     assert set(ownership.owners) == {'a'}
     assert set(ownership.backups) == {''}
+
+
+def test_former_owner_is_asked_after_several_members_joined_together():
+    """A leaving balancer waited a minute for a request that nobody asked
+    it about, and the request's caller got a reset."""
+    former = [
+        Member(f'lb-{number}', 'a', '127.0.0.1', 1, 2) for number in (1, 2)
+    ]
+    joined = [
+        Member(f'lb-{number}', 'b', '127.0.0.1', 1, 2) for number in (3, 4)
+    ]
+    before = assign_slots(former)
+    history = OwnershipHistory(assign_slots(joined[:1]))
+    replace_ownership(history, [*former, *joined], 1.0)
+    note_absence(history, [*former, joined[1]], 1.0)
+    names = {member.name for member in (*former, *joined)}
+    for slot in range(HASH_SLOT_COUNT):
+        owner = history.current.owners[slot]
+        asked = list_former_owners(history, slot, names, 2.0)
+        assert before.owners[slot] in {owner, *asked}
+        assert len(asked) <= 6
--- a/balsamshed/node/upkeep.py
+++ b/balsamshed/node/upkeep.py
@@ -8,7 +8,7 @@
 from balsamshed.flows.copies import is_settled, take_batches
 from balsamshed.flows.table import (
     UNANSWERED_SECONDS,
-    has_open_request,
+    count_open_requests,
     is_idle,
     list_ended,
     list_unanswered,
@@ -77,6 +77,7 @@
 _AUDIT_SECONDS: Final = 3.0
 _PROBE_SECONDS: Final = 1.0
 _REPORTS_SECONDS: Final = 1.0
+_LEAVE_REPORT_SECONDS: Final = 5.0
 _VMS_SECONDS: Final = 10.0
 
 Effects = tuple[Effect, ...]
@@ -314,13 +315,25 @@
     waited = now - node.leaving_since
     if waited < LEAVE_NOTICE_SECONDS:
         return []
-    is_needed = has_open_request(node.flows) or not is_settled(node.copies)
+    is_needed = count_open_requests(node.flows) or not is_settled(node.copies)
     if is_needed and waited < LEAVE_SECONDS:
-        return []
-    fields = {'seconds': round(waited, 1), 'open_requests': is_needed}
+        return _describe_wait(node, now)
+    fields = {'seconds': round(waited, 1), 'is_complete': not is_needed}
     return [LogEvent('left', fields), Stop()]
 
 
+def _describe_wait(node: Node, now: float) -> list[Effect]:
+    if now < node.due_at.get('leave_report', 0):
+        return []
+    node.due_at['leave_report'] = now + _LEAVE_REPORT_SECONDS
+    fields = {
+        'open_requests': count_open_requests(node.flows),
+        'pending_copies': sum(map(len, node.copies.pending.values())),
+        'unacknowledged': ','.join(sorted(node.copies.in_flight)),
+    }
+    return [LogEvent('leave_waits', fields)]
+
+
 # Recurring work with the seconds from one time to the next.
 _TASKS: Final[tuple[tuple[str, float, Task], ...]] = (
     ('membership', _MEMBERSHIP_SECONDS, _run_membership),
