Return to watches of 2 s and run every measurement

Cause: watches of 1 s with a progress deadline of 2.5 s broke test_change_is_in_force_with_silent_watches: the HTTP client's time limit of 2 s came first, which counts as a failed watch, and the reader watched again instead of listing. The shorter watches are taken back. Ruled out: a slow machine; the test failed alone, too. Change: watches of 2 s with a deadline of 4 s as before; make measure runs all modules, the model of placement beside them; members that come back have 10 s in trials, since dead members are pinged every 5 s; docs in step.

--- a/balsamshed/platform/session.py
+++ b/balsamshed/platform/session.py
@@ -5,9 +5,9 @@
 from typing import Final
 
 #: How long the store may hold a watch without news.
-WATCH_SECONDS: Final = 1.0
+WATCH_SECONDS: Final = 2.0
 #: A call without an answer for this long has gone silent.
-PROGRESS_SECONDS: Final = 2.5
+PROGRESS_SECONDS: Final = 4.0
 #: Readers list everything this often, in case an event was left out.
 FULL_LIST_SECONDS: Final = 300.0
 FIRST_BACKOFF_SECONDS: Final = 0.2
--- a/testbed/measure.py
+++ b/testbed/measure.py
@@ -1,23 +1,27 @@
 """Measures the guarantees of the design page and prints a line for each.
 
 Run it with ``make measure``. It exits with 1 if a bound does not hold, if a
-measurement fails or after the time limit.
+measurement fails or after the time limit; every measurement runs in any case.
 """
 
 import signal
 import sys
 from collections.abc import Callable, Iterator
 from importlib import import_module
-from importlib.util import find_spec
 from types import FrameType
 from typing import Final
 
 from testbed.figures import Figure, format_figure
+from testbed.processes import read_output, run_module, wait_for_exit
 
-#: Modules with a function ``list_figures``; one that is missing is skipped.
-MODULES: Final = ('testbed.measure_flows', 'testbed.measure_configuration')
+#: Modules with a function ``list_figures``.
+MODULES: Final = (
+    'testbed.measure_flows',
+    'testbed.measure_configuration',
+    'testbed.measure_packets',
+)
 #: Time after which the measurement ends with a failure.
-LIMIT_SECONDS: Final = 150
+LIMIT_SECONDS: Final = 290
 
 
 def run_measure() -> int:
@@ -30,18 +34,20 @@
     """
     signal.signal(signal.SIGALRM, _end)
     signal.alarm(LIMIT_SECONDS)
-    is_good = True
-    for module in MODULES:
-        if find_spec(module) is None:
-            continue
-        try:
-            is_good = _print_figures(import_module(module).list_figures)
-        except (TimeoutError, RuntimeError, OSError) as error:
-            _write(f'module={module} error={str(error)!r} ok=false')
-            return 1
-        if not is_good:
-            return 1
-    return 0
+    # The model of placement and limits needs one processor and no sockets.
+    with run_module('testbed.measure_load') as load:
+        outcomes = [_measure_module(module) for module in MODULES]
+        outcomes.append(wait_for_exit(load, LIMIT_SECONDS) == 0)
+        _write(read_output(load).strip())
+    return int(not all(outcomes))
+
+
+def _measure_module(module: str) -> bool:
+    try:
+        return _print_figures(import_module(module).list_figures)
+    except (TimeoutError, RuntimeError, OSError) as error:
+        _write(f'module={module} error={str(error)!r} ok=false')
+        return False
 
 
 def _print_figures(list_figures: Callable[[], Iterator[Figure]]) -> bool:
--- a/testbed/trials.py
+++ b/testbed/trials.py
@@ -49,9 +49,9 @@
 
 #: Balancers of a trial with their data centres.
 BALANCERS: Final = (('lb-1', 'qc-1'), ('lb-2', 'qc-1'), ('lb-3', 'qc-2'))
-#: Death is detected in about 2 s (section 8 of the design page); the rest is
-#: for a busy machine.
-DETECTION_SECONDS: Final = 6.0
+#: Death is detected in about 2 s (section 8 of the design page), and a member
+#: that comes back is found by a ping every 5 s; the rest is for a busy machine.
+DETECTION_SECONDS: Final = 10.0
 
 _SETTLE_SECONDS: Final = 14.0
 
