Keep the rule for failed calls in the store session

Cause: the node set a field of the session after a failed watch; rules belong to the aggregate. Ruled out: a special case by the kind of call; a failed list leads to a list as well. Change: the session's note of a failure asks for a list next.

--- a/balsamshed/node/store.py
+++ b/balsamshed/node/store.py
@@ -76,9 +76,6 @@
     """Back off after a failed call; serving goes on with what is known."""
     if event.call in _SESSION_CALLS:
         note_failure(node.session, now, _draw_fraction(node))
-    if event.call == 'watch':
-        # The client may give a silent watch up before the session does.
-        node.session.has_listed = False
     fields = {'call': event.call, 'reason': event.reason}
     return (
         LogEvent('store_call_failed', fields),
--- a/balsamshed/platform/session.py
+++ b/balsamshed/platform/session.py
@@ -168,6 +168,8 @@
     fraction : float
         Random number from 0 to 1, so that nodes do not return together.
     """
+    # The client may give a silent watch up before the session does.
+    session.has_listed = False
     doubled = session.backoff_seconds * 2
     wait_seconds = max(doubled, FIRST_BACKOFF_SECONDS)
     _back_off(session, wait_seconds, now, fraction)
