--- a/balsamshed/commands/applying.py
+++ b/balsamshed/commands/applying.py
@@ -29,7 +29,7 @@
 from balsamshed.configuration.resources import Resource
 from balsamshed.documents import Document, DocumentRejection, read_document
 from balsamshed.findings import Finding, format_findings
-from balsamshed.platform.responses import StoreFailure
+from balsamshed.store.responses import StoreFailure
 from balsamshed.schemas import find_faults
 
 #: At most this many objects in one file.
--- a/balsamshed/commands/changes.py
+++ b/balsamshed/commands/changes.py
@@ -20,12 +20,12 @@
 from balsamshed.configuration.records import Record, Rejection
 from balsamshed.configuration.resources import Resource
 from balsamshed.findings import format_findings
-from balsamshed.platform.requests import (
+from balsamshed.store.requests import (
     WriteAccepted,
     WriteConflict,
     WriteOutcome,
 )
-from balsamshed.platform.responses import StoreFailure
+from balsamshed.store.responses import StoreFailure
 
 #: How long a write is tried, in seconds.
 WRITE_SECONDS: Final = 15.0
--- a/balsamshed/commands/objects.py
+++ b/balsamshed/commands/objects.py
@@ -27,8 +27,8 @@
     read_records,
 )
 from balsamshed.configuration.records import Record
-from balsamshed.platform.requests import ReadResponse
-from balsamshed.platform.responses import (
+from balsamshed.store.requests import ReadResponse
+from balsamshed.store.responses import (
     FailureReason,
     ObjectMissing,
     StoreFailure,
--- a/balsamshed/commands/program.py
+++ b/balsamshed/commands/program.py
@@ -25,6 +25,11 @@
         Exit status, see `ExitStatus`.
     """
     given = list(sys.argv[1:] if arguments is None else arguments)
+    if given == ['edge']:
+        # Starts on a fifth of a core: nothing else is loaded.
+        from balsamshed.platform.program import run_on_platform
+
+        return run_on_platform()
     if len(given) == _RUN_LENGTH and given[:2] == ['run', '--settings']:
         # A balancer has 64 MB; the parser with its libraries takes 5 MB.
         from balsamshed.commands.running import run_process
--- a/balsamshed/commands/reports.py
+++ b/balsamshed/commands/reports.py
@@ -26,7 +26,7 @@
     read_records,
 )
 from balsamshed.configuration.resources import BackendServer
-from balsamshed.platform.responses import Listing, StoreFailure, VmEntry
+from balsamshed.store.responses import Listing, StoreFailure, VmEntry
 
 _STATUS: Final = ('status',)
 #: Timeout of one watch call of ``wait``, in milliseconds.
--- a/balsamshed/commands/worlds.py
+++ b/balsamshed/commands/worlds.py
@@ -14,7 +14,7 @@
     Service,
 )
 from balsamshed.configuration.schedules import takes_new_work
-from balsamshed.platform.responses import Listing, StoreFailure
+from balsamshed.store.responses import Listing, StoreFailure
 
 #: Kinds that declare desired state, in the order in which they are listed.
 DECLARED_KINDS: Final = ('service', 'backend_server')
--- /dev/null
+++ b/balsamshed/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Edge balancer: joins routes, endpoints, packet path and reads of the store."""
--- /dev/null
+++ b/balsamshed/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints of services as service discovery reports them."""
--- /dev/null
+++ b/balsamshed/endpoints/directory.py
@@ -0,0 +1,203 @@
+"""Directory of endpoints: what a balancer believes about each of them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from balsamshed.endpoints.endpoint import Endpoint, derive_cookie
+
+
+class ChangeKind(StrEnum):
+    """What a newer view of the endpoints changed."""
+
+    ADDED = 'added'
+    RESTARTED = 'restarted'
+    DRAINING = 'draining'
+    READY = 'ready'
+    REMOVED = 'removed'
+    UPDATED = 'updated'
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointChange:
+    """One difference between two views.
+
+    Parameters
+    ----------
+    kind : ChangeKind
+        What happened.
+    endpoint : Endpoint
+        The endpoint in the newer view; in the older one if it was removed.
+    """
+
+    kind: ChangeKind
+    endpoint: Endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointView:
+    """All endpoints at one revision of the store.
+
+    Parameters
+    ----------
+    revision : int
+        Revision that the view shows; a higher one is newer.
+    endpoints : tuple of Endpoint
+        The endpoints, in any order.
+    """
+
+    revision: int
+    endpoints: tuple[Endpoint, ...]
+
+
+@dataclass(slots=True)
+class Directory:
+    """Endpoints by identity and by cookie.
+
+    Attributes
+    ----------
+    departed_lifetime_seconds : float
+        How long a removed endpoint stays reachable for flows that are open:
+        the longest life of a flow. An entry may vanish while its endpoint
+        lives, for example after an outage of the store.
+    revision : int
+        Revision of the last view; -1 before the first one.
+    endpoints : dict of int to Endpoint
+        Endpoints of the last view, by identity.
+    departed : dict of int to (Endpoint, float)
+        Removed endpoints with the monotonic seconds of their removal.
+    by_cookie : dict of (str, int) to Endpoint
+        Present and departed endpoints by service and cookie.
+    open_to_new_flows : dict of str to tuple of Endpoint
+        Endpoints that are not draining, by service.
+    """
+
+    departed_lifetime_seconds: float
+    revision: int = -1
+    endpoints: dict[int, Endpoint] = field(default_factory=dict)
+    departed: dict[int, tuple[Endpoint, float]] = field(default_factory=dict)
+    by_cookie: dict[tuple[str, int], Endpoint] = field(default_factory=dict)
+    open_to_new_flows: dict[str, tuple[Endpoint, ...]] = field(
+        default_factory=dict,
+    )
+
+
+def apply_view(
+    directory: Directory,
+    view: EndpointView,
+    now: float,
+) -> tuple[EndpointChange, ...]:
+    """Replace the directory's endpoints by those of a newer view.
+
+    A view of a lower revision than the last one changes nothing: it comes
+    from a replica that lags or from a response that was overtaken.
+
+    Parameters
+    ----------
+    directory : Directory
+        Changed in place.
+    view : EndpointView
+        The endpoints of the store.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    tuple of EndpointChange
+        What is different from before.
+    """
+    if view.revision < directory.revision:
+        return ()
+    former = directory.endpoints
+    newer = {endpoint.instance: endpoint for endpoint in view.endpoints}
+    changes = [
+        EndpointChange(ChangeKind.REMOVED, endpoint)
+        for instance, endpoint in former.items()
+        if instance not in newer
+    ]
+    for instance, endpoint in newer.items():
+        kind = _compare(former.get(instance), endpoint)
+        if kind is not None:
+            changes.append(EndpointChange(kind, endpoint))
+    directory.revision = view.revision
+    directory.endpoints = newer
+    _keep_departed(directory, changes, now)
+    if changes or not directory.by_cookie:
+        _index_endpoints(directory)
+    return tuple(changes)
+
+
+def find_endpoint(
+    directory: Directory,
+    service: str,
+    cookie: int,
+) -> Endpoint | None:
+    """Return the endpoint of a service that a cookie names, if known."""
+    return directory.by_cookie.get((service, cookie))
+
+
+def list_open_endpoints(
+    directory: Directory,
+    service: str,
+) -> tuple[Endpoint, ...]:
+    """Return the endpoints of a service that take new flows."""
+    return directory.open_to_new_flows.get(service, ())
+
+
+def _compare(former: Endpoint | None, newer: Endpoint) -> ChangeKind | None:
+    if former is None:
+        return ChangeKind.ADDED
+    if former.started_at_ms != newer.started_at_ms:
+        return ChangeKind.RESTARTED
+    if former.is_draining != newer.is_draining:
+        return (
+            ChangeKind.DRAINING if newer.is_draining else ChangeKind.READY
+        )
+    identity = (former.service, former.host, former.port, former.data_centre)
+    if identity != (newer.service, newer.host, newer.port, newer.data_centre):
+        return ChangeKind.UPDATED
+    return None
+
+
+def _keep_departed(
+    directory: Directory,
+    changes: Iterable[EndpointChange],
+    now: float,
+) -> None:
+    for change in changes:
+        if change.kind is ChangeKind.REMOVED:
+            endpoint = change.endpoint
+            directory.departed[endpoint.instance] = (endpoint, now)
+    horizon = now - directory.departed_lifetime_seconds
+    directory.departed = {
+        instance: (endpoint, removed_at)
+        for instance, (endpoint, removed_at) in directory.departed.items()
+        if removed_at > horizon and instance not in directory.endpoints
+    }
+
+
+def _index_endpoints(directory: Directory) -> None:
+    by_cookie: dict[tuple[str, int], Endpoint] = {}
+    services: dict[str, list[Endpoint]] = {}
+    for endpoint in _order_endpoints(directory):
+        key = (endpoint.service, derive_cookie(endpoint.instance))
+        # Two identities may fold to one cookie: the first keeps it on every
+        # balancer, and the other gets no flows.
+        if by_cookie.setdefault(key, endpoint) is not endpoint:
+            continue
+        if endpoint.instance in directory.endpoints:
+            if not endpoint.is_draining:
+                services.setdefault(endpoint.service, []).append(endpoint)
+    directory.by_cookie = by_cookie
+    directory.open_to_new_flows = {
+        service: tuple(endpoints) for service, endpoints in services.items()
+    }
+
+
+def _order_endpoints(directory: Directory) -> list[Endpoint]:
+    present = sorted(directory.endpoints.values(), key=_get_instance)
+    return present + [endpoint for endpoint, _ in directory.departed.values()]
+
+
+def _get_instance(endpoint: Endpoint) -> int:
+    return endpoint.instance
--- /dev/null
+++ b/balsamshed/endpoints/endpoint.py
@@ -0,0 +1,72 @@
+"""An endpoint of a service, as it reports itself."""
+
+from dataclasses import dataclass
+from typing import Final
+
+#: Width of the cookie that names an endpoint in a packet.
+COOKIE_BITS: Final = 32
+#: A packet that opens a flow carries this in place of a cookie.
+NO_COOKIE: Final = 0
+
+_COOKIE_MASK: Final = (1 << COOKIE_BITS) - 1
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One start of a backend server's program.
+
+    Parameters
+    ----------
+    instance : int
+        Identity of the endpoint, 64 bits. A program may start again under
+        the identity that it had.
+    started_at_ms : int
+        Unix milliseconds of the program's start. Tells two starts under one
+        identity apart.
+    service : str
+        Name of the service that it serves.
+    host : str
+        IPv4 address.
+    port : int
+        UDP port for packets.
+    data_centre : str
+        Data centre that it runs in.
+    slots : int
+        Requests that it processes concurrently.
+    is_draining : bool
+        Whether it asked for no new flows.
+    warm_up_seconds : float
+        How much longer it expected to be slow when it wrote the report.
+    sequence : int
+        Number of the report, counted from the program's start.
+    """
+
+    instance: int
+    started_at_ms: int
+    service: str
+    host: str
+    port: int
+    data_centre: str
+    slots: int
+    is_draining: bool = False
+    warm_up_seconds: float = 0
+    sequence: int = 0
+
+
+def derive_cookie(instance: int) -> int:
+    """Return the cookie of an endpoint: 32 bits that any balancer derives.
+
+    Identities are random, so folding them spreads as well as a hash.
+
+    Parameters
+    ----------
+    instance : int
+        Identity of the endpoint, 64 bits.
+
+    Returns
+    -------
+    int
+        From 1 to 2**32 - 1; never `NO_COOKIE`.
+    """
+    folded = (instance ^ (instance >> COOKIE_BITS)) & _COOKIE_MASK
+    return folded or 1
--- /dev/null
+++ b/balsamshed/front_ends/http_port.py
@@ -0,0 +1,90 @@
+"""A small HTTP server: one function answers every request."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from httptools import HttpParserError, HttpRequestParser
+from twisted.internet.protocol import Factory, Protocol
+
+_REASONS: Final = {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """Answer to a request.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    body : bytes
+        Content.
+    content_type : str
+        Media type of the content.
+    """
+
+    status: int
+    body: bytes = b''
+    content_type: str = 'text/plain; charset=utf-8'
+
+
+#: Returns the answer for a path.
+AnswerPath = Callable[[str], HttpAnswer]
+
+
+class HttpServerConnection(Protocol):  # type: ignore[misc]
+    """One connection; requests are answered in order.
+
+    Parameters
+    ----------
+    answer : callable
+        Takes the path of a request.
+    """
+
+    def __init__(self, answer: AnswerPath) -> None:
+        """Keep the function that answers."""
+        self._answer = answer
+        self._parser = HttpRequestParser(self)
+        self._url = b''
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parse what has arrived."""
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError:
+            # Whatever this is, it is no request.
+            self.transport.abortConnection()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the path; called by the parser, perhaps in parts."""
+        self._url += url
+
+    def on_message_complete(self) -> None:
+        """Answer the request; called by the parser."""
+        path = self._url.split(b'?')[0].decode('ascii', 'replace')
+        self._url = b''
+        keeps_alive = self._parser.should_keep_alive()
+        self.transport.write(_format_answer(self._answer(path), keeps_alive))
+        if not keeps_alive:
+            self.transport.loseConnection()
+
+
+def create_http_factory(answer: AnswerPath) -> Any:
+    """Return the factory of connections that one function answers."""
+    factory = Factory()
+    factory.noisy = False
+    factory.buildProtocol = lambda _address: HttpServerConnection(answer)
+    return factory
+
+
+def _format_answer(answer: HttpAnswer, keeps_alive: bool) -> bytes:
+    reason = _REASONS.get(answer.status, '')
+    connection = 'keep-alive' if keeps_alive else 'close'
+    head = (
+        f'HTTP/1.1 {answer.status} {reason}\r\n'
+        f'Content-Type: {answer.content_type}\r\n'
+        f'Content-Length: {len(answer.body)}\r\n'
+        f'Connection: {connection}\r\n\r\n'
+    )
+    return head.encode('ascii') + answer.body
--- a/balsamshed/front_ends/store_client.py
+++ b/balsamshed/front_ends/store_client.py
@@ -15,7 +15,7 @@
 from twisted.web.iweb import IAgent
 
 from balsamshed.front_ends.http_client import read_text, send_request
-from balsamshed.platform.requests import (
+from balsamshed.store.requests import (
     PutObject,
     PutResponse,
     ReadObject,
@@ -26,7 +26,7 @@
     decide_step,
     start_write,
 )
-from balsamshed.platform.responses import (
+from balsamshed.store.responses import (
     FailureReason,
     Listing,
     ObjectMissing,
--- a/balsamshed/front_ends/store_port.py
+++ b/balsamshed/front_ends/store_port.py
@@ -22,14 +22,14 @@
     WatchExpired,
     WriteConflicted,
 )
-from balsamshed.platform.responses import (
+from balsamshed.store.responses import (
     FailureReason,
     PutAccepted,
     PutRefused,
     StoreFailure,
     VmEntry,
 )
-from balsamshed.platform.session import WATCH_SECONDS
+from balsamshed.store.session import WATCH_SECONDS
 
 
 def create_store_performers(
--- a/balsamshed/front_ends/tests/test_store_client.py
+++ b/balsamshed/front_ends/tests/test_store_client.py
@@ -17,12 +17,12 @@
     MAX_LIST_BYTES,
     MAX_OBJECT_BYTES,
 )
-from balsamshed.platform.requests import (
+from balsamshed.store.requests import (
     WriteAccepted,
     WriteConflict,
     WriteFailure,
 )
-from balsamshed.platform.responses import (
+from balsamshed.store.responses import (
     FailureReason,
     Listing,
     ObjectMissing,
--- /dev/null
+++ b/balsamshed/logs/stream.py
@@ -0,0 +1,100 @@
+"""Log lines on a stream that never blocks the process.
+
+The loggers of the libraries write to a pipe that a slow reader can fill. Here
+lines wait in a bounded queue, and what the stream does not take at once is
+written later or left out and counted.
+"""
+
+import os
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from balsamshed.logs.lines import format_line
+
+#: Lines that wait at most; the oldest are left out first.
+QUEUE_LINES: Final = 2000
+
+
+@dataclass(slots=True)
+class LineQueue:
+    """Lines that have not been written.
+
+    Attributes
+    ----------
+    lines : deque of bytes
+        Whole lines, the oldest first.
+    left_out : int
+        Lines that were dropped since the last one that was written.
+    rest : bytes
+        End of a line of which the stream has taken a part.
+    """
+
+    lines: deque[bytes] = field(default_factory=deque)
+    left_out: int = 0
+    rest: bytes = b''
+
+
+def add_line(queue: LineQueue, name: str, fields: dict[str, object]) -> None:
+    """Queue the line of an event.
+
+    Parameters
+    ----------
+    queue : LineQueue
+        Changed in place.
+    name : str
+        Name of the event.
+    fields : dict of str to object
+        Values of the event.
+    """
+    line: dict[str, object] = {'time': f'{time.time():.3f}', 'event': name}
+    line.update(fields)
+    if len(queue.lines) >= QUEUE_LINES:
+        queue.lines.popleft()
+        queue.left_out += 1
+    queue.lines.append(f'{format_line(line)}\n'.encode())
+
+
+def write_lines(queue: LineQueue, write: Callable[[bytes], int]) -> None:
+    """Write as many lines as the stream takes.
+
+    Parameters
+    ----------
+    queue : LineQueue
+        Changed in place.
+    write : callable
+        Takes bytes and returns how many the stream accepted; zero if none.
+    """
+    while queue.rest or queue.lines:
+        if not queue.rest:
+            queue.rest = _take_line(queue)
+        taken = write(queue.rest)
+        queue.rest = queue.rest[taken:]
+        if queue.rest:
+            return
+
+
+def create_stream_writer(descriptor: int) -> Callable[[bytes], int]:
+    """Return a function that writes to a file descriptor without blocking."""
+    os.set_blocking(descriptor, False)
+
+    def write(chunk: bytes) -> int:
+        try:
+            return os.write(descriptor, chunk)
+        except BlockingIOError:
+            return 0
+        except OSError:
+            # Nobody reads the log any more: there is no place to report it.
+            return len(chunk)
+
+    return write
+
+
+def _take_line(queue: LineQueue) -> bytes:
+    if not queue.left_out:
+        return queue.lines.popleft()
+    left_out, queue.left_out = queue.left_out, 0
+    line = format_line({'event': 'lines_left_out', 'count': left_out})
+    return f'{line}\n'.encode()
--- a/balsamshed/node/store.py
+++ b/balsamshed/node/store.py
@@ -18,7 +18,7 @@
 )
 from balsamshed.node.records import learn_records
 from balsamshed.node.state import Node
-from balsamshed.platform.session import (
+from balsamshed.store.session import (
     note_expiry,
     note_failure,
     note_list,
--- a/balsamshed/node/tests/test_failures.py
+++ b/balsamshed/node/tests/test_failures.py
@@ -46,7 +46,7 @@
 from balsamshed.node.messages import Envelope
 from balsamshed.node.state import create_node
 from balsamshed.placement.messages import LoadReport
-from balsamshed.platform.session import WATCH_SECONDS
+from balsamshed.store.session import WATCH_SECONDS
 
 #: Twice the time between the ticks of a process, to simulate more cases.
 TICK = 0.1
--- a/balsamshed/node/upkeep.py
+++ b/balsamshed/node/upkeep.py
@@ -54,7 +54,7 @@
 from balsamshed.node.summaries import build_summary
 from balsamshed.placement.board import record_unanswered
 from balsamshed.placement.messages import LoadReport, LoadReports
-from balsamshed.platform.session import StoreCall, advance_session
+from balsamshed.store.session import StoreCall, advance_session
 from balsamshed.status.fleet import build_body, plan_write
 
 #: A leaving process stops after this time at the latest.
--- /dev/null
+++ b/balsamshed/placement/in_flight.py
@@ -0,0 +1,166 @@
+"""Placement by requests in flight.
+
+Scores are in requests per slot: the load that the next request would meet.
+"""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+from balsamshed.endpoints.endpoint import Endpoint
+
+#: A request to another data centre costs a round trip of about 2 ms and
+#: traffic between data centres, about as much as one request that waits.
+REMOTE_PENALTY_REQUESTS: Final = 1.0
+#: An endpoint that warms up takes longer for each request.
+WARM_UP_PENALTY_REQUESTS: Final = 1.0
+#: An opening packet is answered in a few milliseconds, so one that its caller
+#: repeats after 200 ms was lost or met an endpoint that is down or full.
+FIRST_SUSPICION_SECONDS: Final = 0.5
+#: Entries of endpoints that crashed vanish after three missed reports, and
+#: the suspicion has to last until then.
+LONGEST_SUSPICION_SECONDS: Final = 4.0
+#: Candidates that one placement compares at most.
+MOST_COMPARED: Final = 32
+
+#: Returns a random integer from 0 to below its argument.
+DrawNumber = Callable[[int], int]
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """Openings that an endpoint left unanswered.
+
+    Attributes
+    ----------
+    failures : int
+        Unanswered openings since the last one that was answered.
+    until : float
+        Monotonic seconds until which the endpoint is avoided.
+    """
+
+    failures: int = 0
+    until: float = 0
+
+
+@dataclass(slots=True)
+class InFlightBoard:
+    """What placement knows about endpoints.
+
+    Attributes
+    ----------
+    data_centre : str
+        Data centre of this balancer.
+    own : mapping of int to int
+        Requests in flight that this balancer sees, by endpoint.
+    peers : dict of int to int
+        Requests in flight that other balancers see, by endpoint.
+    suspicions : dict of int to Suspicion
+        By endpoint; only endpoints with unanswered openings.
+    warm_until : dict of int to float
+        Monotonic seconds at which an endpoint is no longer cold.
+    """
+
+    data_centre: str
+    own: Mapping[int, int]
+    peers: dict[int, int] = field(default_factory=dict)
+    suspicions: dict[int, Suspicion] = field(default_factory=dict)
+    warm_until: dict[int, float] = field(default_factory=dict)
+
+
+def choose_least_busy(
+    board: InFlightBoard,
+    candidates: Sequence[Endpoint],
+    avoided: int | None,
+    draw: DrawNumber,
+    now: float,
+) -> Endpoint | None:
+    """Choose the endpoint with the fewest requests in flight for its slots.
+
+    Parameters
+    ----------
+    board : InFlightBoard
+        Load and suspicions.
+    candidates : sequence of Endpoint
+        Endpoints of one service that take new flows.
+    avoided : int or None
+        An endpoint that did not answer this flow's last opening packet; taken
+        only if there is no other.
+    draw : callable
+        Random source, which decides between equal scores.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    Endpoint or None
+        None without candidates.
+    """
+    count = len(candidates)
+    if not count:
+        return None
+    best: Endpoint | None = None
+    best_score = float('inf')
+    start = draw(count)
+    for offset in range(min(count, MOST_COMPARED)):
+        endpoint = candidates[(start + offset) % count]
+        instance = endpoint.instance
+        if instance == avoided or is_suspected(board, instance, now):
+            continue
+        score = score_endpoint(board, endpoint, now)
+        if score < best_score:
+            best, best_score = endpoint, score
+    if best is None:
+        # Every endpoint is suspected: one of them may have come back.
+        return candidates[start]
+    return best
+
+
+def score_endpoint(
+    board: InFlightBoard,
+    endpoint: Endpoint,
+    now: float,
+) -> float:
+    """Return the load that a new request would meet, in requests per slot."""
+    instance = endpoint.instance
+    load = board.own.get(instance, 0) + board.peers.get(instance, 0)
+    penalty = 0.0
+    if endpoint.data_centre != board.data_centre:
+        penalty += REMOTE_PENALTY_REQUESTS
+    if board.warm_until.get(instance, 0) > now:
+        penalty += WARM_UP_PENALTY_REQUESTS
+    return (load + penalty) / endpoint.slots
+
+
+def is_suspected(board: InFlightBoard, instance: int, now: float) -> bool:
+    """Tell whether an endpoint is avoided at the moment."""
+    suspicion = board.suspicions.get(instance)
+    return suspicion is not None and suspicion.until > now
+
+
+def note_unanswered(
+    board: InFlightBoard,
+    instance: int,
+    now: float,
+) -> Suspicion:
+    """Note that an endpoint left an opening packet unanswered."""
+    suspicion = board.suspicions.setdefault(instance, Suspicion())
+    if suspicion.until <= now:
+        # Openings sent before the suspicion began count once.
+        suspicion.failures += 1
+        doublings = min(suspicion.failures - 1, 8)
+        length = FIRST_SUSPICION_SECONDS * (1 << doublings)
+        suspicion.until = now + min(length, LONGEST_SUSPICION_SECONDS)
+    return suspicion
+
+
+def note_answered(board: InFlightBoard, instance: int) -> None:
+    """Note that an endpoint answered an opening packet."""
+    board.suspicions.pop(instance, None)
+
+
+def forget_endpoint(board: InFlightBoard, instance: int) -> None:
+    """Forget what was known about an endpoint that left or started again."""
+    board.suspicions.pop(instance, None)
+    board.warm_until.pop(instance, None)
+    board.peers.pop(instance, None)
--- a/balsamshed/platform/__init__.py
+++ b/balsamshed/platform/__init__.py
@@ -1,1 +1,4 @@
-"""Use of the platform's object store."""
+"""Translation between the users' platform and the product's types.
+
+Nothing outside this package knows a name of the platform's protocol.
+"""
--- /dev/null
+++ b/balsamshed/platform/calls.py
@@ -0,0 +1,47 @@
+"""Calls of the platform's store, and its pages decoded."""
+
+import json
+from collections.abc import Mapping
+from typing import Any, Final
+
+from balsamshed.front_ends.source_reader import ListPage
+from balsamshed.store.reading import Source
+
+_KINDS: Final = {Source.ENDPOINTS: 'servers', Source.ROUTES: 'config'}
+
+
+def format_list_path(source: Source, after: str) -> str:
+    """Return the path that lists a source's objects after a name."""
+    path = f'/v1/objects/{_KINDS[source]}'
+    return f'{path}?after={after}' if after else path
+
+
+def decode_page(body: bytes) -> ListPage | None:
+    """Decode a response to a list, or return None for another form."""
+    content = _decode_object(body)
+    if content is None:
+        return None
+    # ``currentRev`` is the revision of the whole store.
+    items, revision = content.get('items'), content.get('currentRev')
+    if not isinstance(items, list) or not isinstance(revision, int):
+        return None
+    next_after = ''
+    if content.get('hasMore') is True and items:
+        next_after = get_name(items[-1])
+    return ListPage(tuple(items), revision, next_after)
+
+
+def get_name(item: object) -> str:
+    """Return the name of an object of the store; empty if it has none."""
+    meta = item.get('meta') if isinstance(item, Mapping) else None
+    name = meta.get('name') if isinstance(meta, Mapping) else None
+    return name if isinstance(name, str) else ''
+
+
+def _decode_object(body: bytes) -> Mapping[str, Any] | None:
+    try:
+        content = json.loads(body)
+    except ValueError:
+        return None
+    return content if isinstance(content, Mapping) else None
+
--- /dev/null
+++ b/balsamshed/platform/wire.py
@@ -0,0 +1,65 @@
+"""The platform's encodings, bound to what the front ends need."""
+
+from typing import Final
+
+from balsamshed.endpoints.directory import EndpointView
+from balsamshed.endpoints.endpoint import Endpoint
+from balsamshed.front_ends.edge_process import WireFormat
+from balsamshed.front_ends.source_reader import SourceListing, StoreFormat
+from balsamshed.platform.calls import decode_page, format_list_path, get_name
+from balsamshed.platform.entries import (
+    EntryRejection,
+    decode_endpoint,
+    decode_routes,
+)
+from balsamshed.platform.packets import (
+    decode_packet,
+    encode_forwarded,
+    encode_reset,
+    get_caller_address,
+)
+from balsamshed.routes.table import RouteTable
+
+READY_PATH: Final = '/v1/ready'
+#: Name of the object that holds the configuration.
+_CONFIGURATION: Final = 'main'
+
+
+def create_wire_format() -> WireFormat:
+    """Return the encodings of the platform."""
+    return WireFormat(
+        decode_packet=decode_packet,
+        encode_forwarded=encode_forwarded,
+        encode_reset=encode_reset,
+        get_caller_address=get_caller_address,
+        decode_endpoints=decode_endpoints,
+        decode_routes=decode_configuration,
+        store=StoreFormat(format_list_path, decode_page),
+        ready_path=READY_PATH,
+    )
+
+
+def decode_endpoints(
+    listing: SourceListing,
+) -> tuple[EndpointView, tuple[str, ...]]:
+    """Return the endpoints of a listing, and which entries were rejected."""
+    endpoints: list[Endpoint] = []
+    rejected: list[str] = []
+    for item in listing.items:
+        entry = decode_endpoint(item)
+        if isinstance(entry, EntryRejection):
+            rejected.append(f'{entry.name}:{entry.field}')
+        else:
+            endpoints.append(entry)
+    return EndpointView(listing.revision, tuple(endpoints)), tuple(rejected)
+
+
+def decode_configuration(listing: SourceListing) -> RouteTable | str:
+    """Return the routes of a listing, or why there are none."""
+    for item in listing.items:
+        if get_name(item) == _CONFIGURATION:
+            table = decode_routes(item)
+            if isinstance(table, EntryRejection):
+                return f'invalid_{table.field}'
+            return table
+    return 'no_configuration'
--- /dev/null
+++ b/balsamshed/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes: which service serves an address and port."""
--- /dev/null
+++ b/balsamshed/settings/edge.py
@@ -0,0 +1,154 @@
+"""Settings of an edge balancer, which forwards by cookies.
+
+The file is small and read at each start, so it is checked here by a table of
+fields; the libraries that compare schemas take 0.2 s to load.
+"""
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+from balsamshed.findings import Finding
+from balsamshed.settings.balancer import SocketAddress
+
+_HIGHEST_PORT: Final = 65535
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeSettings:
+    """What an edge balancer has to know when it starts.
+
+    Parameters
+    ----------
+    name : str
+        Name of the balancer.
+    data_centre : str
+        Data centre that it runs in.
+    packets : SocketAddress
+        UDP address for packets; callers take packets at the same port.
+    ready : SocketAddress
+        TCP address of the readiness check.
+    store : SocketAddress
+        TCP address of the object store.
+    peer_ports : tuple of int
+        First and last port for messages between balancers.
+    seeds : tuple of SocketAddress
+        Addresses of some balancers, to find the others.
+    flow_lifetime_seconds : float
+        Longest life of a flow.
+    grace_seconds : float
+        Time from SIGTERM until the process is killed.
+    """
+
+    name: str
+    data_centre: str
+    packets: SocketAddress
+    ready: SocketAddress
+    store: SocketAddress
+    peer_ports: tuple[int, ...]
+    seeds: tuple[SocketAddress, ...]
+    flow_lifetime_seconds: float
+    grace_seconds: float
+
+
+def parse_edge_settings(text: str) -> EdgeSettings | tuple[Finding, ...]:
+    """Decode and check settings.
+
+    Parameters
+    ----------
+    text : str
+        JSON document.
+
+    Returns
+    -------
+    EdgeSettings or tuple of Finding
+        The settings, or every fault. Unknown keys are ignored, since the
+        platform may add some.
+    """
+    try:
+        content = json.loads(text)
+    except ValueError as error:
+        return (Finding('$', str(error), 'a JSON document'),)
+    if not isinstance(content, Mapping):
+        return (Finding('$', type(content).__name__, 'an object'),)
+    findings = tuple(
+        Finding(f'$.{key}', json.dumps(content.get(key)), rule.allowed)
+        for key, rule in _RULES.items()
+        if not rule.is_valid(content.get(key))
+    )
+    return findings or _build(content)
+
+
+@dataclass(frozen=True, slots=True)
+class _Rule:
+    allowed: str
+    is_valid: Callable[[Any], bool]
+
+
+def _is_text(entry: Any) -> bool:
+    return isinstance(entry, str) and bool(entry)
+
+
+def _is_amount(entry: Any) -> bool:
+    is_number = isinstance(entry, int | float) and not isinstance(entry, bool)
+    return is_number and entry > 0
+
+
+def _is_address(entry: Any) -> bool:
+    if not isinstance(entry, str):
+        return False
+    host, _, port = entry.rpartition(':')
+    octets = host.split('.')
+    if len(octets) != 4 or not all(map(str.isdecimal, octets)):
+        return False
+    return all(int(octet) < 256 for octet in octets) and _is_port(port)
+
+
+def _is_port(text: str) -> bool:
+    return text.isdecimal() and 0 < int(text) <= _HIGHEST_PORT
+
+
+def _is_address_list(entry: Any) -> bool:
+    return isinstance(entry, list) and all(map(_is_address, entry))
+
+
+def _is_port_range(entry: Any) -> bool:
+    if not isinstance(entry, list) or not all(
+        isinstance(port, int) and 0 < port <= _HIGHEST_PORT for port in entry
+    ):
+        return False
+    return not entry or (len(entry) == 2 and entry[0] <= entry[1])
+
+
+_ADDRESS_RULE: Final = _Rule('an IPv4 address and a port', _is_address)
+_RULES: Final = {
+    'name': _Rule('a name', _is_text),
+    'data_centre': _Rule('a name', _is_text),
+    'packets': _ADDRESS_RULE,
+    'ready': _ADDRESS_RULE,
+    'store': _ADDRESS_RULE,
+    'peer_ports': _Rule('the first and the last port', _is_port_range),
+    'seeds': _Rule('a list of addresses', _is_address_list),
+    'flow_lifetime_seconds': _Rule('seconds above 0', _is_amount),
+    'grace_seconds': _Rule('seconds above 0', _is_amount),
+}
+
+
+def _build(content: Mapping[str, Any]) -> EdgeSettings:
+    return EdgeSettings(
+        name=content['name'],
+        data_centre=content['data_centre'],
+        packets=_parse_address(content['packets']),
+        ready=_parse_address(content['ready']),
+        store=_parse_address(content['store']),
+        peer_ports=tuple(content['peer_ports']),
+        seeds=tuple(map(_parse_address, content['seeds'])),
+        flow_lifetime_seconds=content['flow_lifetime_seconds'],
+        grace_seconds=content['grace_seconds'],
+    )
+
+
+def _parse_address(text: str) -> SocketAddress:
+    host, _, port = text.rpartition(':')
+    return SocketAddress(host, int(port))
--- /dev/null
+++ b/balsamshed/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Packet path that needs no flow state: a cookie names the endpoint."""
--- /dev/null
+++ b/balsamshed/steering/decisions.py
@@ -0,0 +1,208 @@
+"""Decisions about packets of callers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from balsamshed.endpoints.directory import (
+    Directory,
+    find_endpoint,
+    list_open_endpoints,
+)
+from balsamshed.endpoints.endpoint import Endpoint, derive_cookie
+from balsamshed.placement.in_flight import (
+    InFlightBoard,
+    choose_least_busy,
+    note_answered,
+    note_unanswered,
+)
+from balsamshed.routes.table import Route, RouteTable
+from balsamshed.steering.packets import (
+    DropPacket,
+    FlowPacket,
+    ForwardFlow,
+    PacketKind,
+    ResetFlow,
+    SteeringEffect,
+)
+from balsamshed.steering.requests import (
+    Progress,
+    RequestTable,
+    observe_packet,
+    start_opening,
+)
+
+#: A repeated opening packet means that the first was not answered, unless it
+#: was sent more recently than callers repeat it; the network may duplicate.
+REPEAT_SECONDS: Final = 0.1
+
+_NO_ROUTE: Final = ResetFlow('no_route')
+_ROUTE_REMOVED: Final = ResetFlow('route_removed')
+_NO_ENDPOINT: Final = ResetFlow('no_endpoint')
+_UNKNOWN_COOKIE: Final = DropPacket('unknown_cookie')
+
+
+@dataclass(slots=True)
+class Steering:
+    """State of the packet path.
+
+    Attributes
+    ----------
+    directory : Directory
+        Endpoints.
+    requests : RequestTable
+        Requests in flight.
+    board : InFlightBoard
+        Load of endpoints; its own counts are those of ``requests``.
+    draw : callable
+        Returns a random integer from 0 to below its argument.
+    routes : RouteTable
+        Routes in force.
+    """
+
+    directory: Directory
+    requests: RequestTable
+    board: InFlightBoard
+    draw: Callable[[int], int]
+    routes: RouteTable = field(default_factory=RouteTable)
+
+
+def create_steering(
+    data_centre: str,
+    flow_lifetime_seconds: float,
+    draw: Callable[[int], int],
+) -> Steering:
+    """Create the state of a balancer that knows nothing yet.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of the balancer.
+    flow_lifetime_seconds : float
+        Longest life of a flow.
+    draw : callable
+        Returns a random integer from 0 to below its argument.
+    """
+    requests = RequestTable()
+    return Steering(
+        Directory(flow_lifetime_seconds),
+        requests,
+        InFlightBoard(data_centre, requests.counts),
+        draw,
+    )
+
+
+def is_ready(steering: Steering) -> bool:
+    """Tell whether the balancer knows routes and an endpoint to serve them."""
+    return (
+        steering.routes.version >= 0
+        and steering.directory.revision >= 0
+        and bool(steering.directory.open_to_new_flows)
+    )
+
+
+def steer_packet(
+    steering: Steering,
+    packet: FlowPacket,
+    now: float,
+) -> SteeringEffect:
+    """Decide what happens to a caller's packet.
+
+    Parameters
+    ----------
+    steering : Steering
+        Changed in place.
+    packet : FlowPacket
+        The packet.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    SteeringEffect
+        Forward, reset or drop.
+    """
+    route = steering.routes.routes.get(packet.listener)
+    if packet.kind is PacketKind.OPENING:
+        if route is None:
+            return _NO_ROUTE
+        return _open_flow(steering, packet, route, now)
+    if route is None:
+        return _ROUTE_REMOVED
+    for share in route.shares:
+        endpoint = find_endpoint(
+            steering.directory,
+            share.service,
+            packet.cookie,
+        )
+        if endpoint is not None:
+            _observe(steering, packet, endpoint, now)
+            return ForwardFlow(endpoint, packet.cookie)
+    return _UNKNOWN_COOKIE
+
+
+def _open_flow(
+    steering: Steering,
+    packet: FlowPacket,
+    route: Route,
+    now: float,
+) -> SteeringEffect:
+    avoided = None
+    former = steering.requests.pending.get(packet.flow_key)
+    if former is not None and former.progress is Progress.OPENING:
+        if now - former.since < REPEAT_SECONDS:
+            known = steering.directory.endpoints.get(former.instance)
+            if known is not None and not known.is_draining:
+                return ForwardFlow(known, derive_cookie(known.instance))
+        elif packet.attempt:
+            avoided = former.instance
+            note_unanswered(steering.board, avoided, now)
+    endpoint = choose_least_busy(
+        steering.board,
+        list_open_endpoints(
+            steering.directory,
+            _choose_service(steering, route),
+        ),
+        avoided,
+        steering.draw,
+        now,
+    )
+    if endpoint is None:
+        return _NO_ENDPOINT
+    start_opening(
+        steering.requests,
+        packet.flow_key,
+        endpoint.instance,
+        now,
+    )
+    return ForwardFlow(endpoint, derive_cookie(endpoint.instance))
+
+
+def _choose_service(steering: Steering, route: Route) -> str:
+    shares = route.shares
+    if len(shares) == 1:
+        return shares[0].service
+    position = steering.draw(sum(share.weight for share in shares))
+    for share in shares:
+        position -= share.weight
+        if position < 0:
+            return share.service
+    return shares[-1].service
+
+
+def _observe(
+    steering: Steering,
+    packet: FlowPacket,
+    endpoint: Endpoint,
+    now: float,
+) -> None:
+    observation = observe_packet(
+        steering.requests,
+        packet,
+        endpoint.instance,
+        now,
+    )
+    if observation is None:
+        return
+    if observation.opened_after_seconds is not None:
+        note_answered(steering.board, endpoint.instance)
--- /dev/null
+++ b/balsamshed/store/__init__.py
@@ -0,0 +1,1 @@
+"""Use of the platform's object store."""
--- a/balsamshed/platform/requests.py
+++ b/balsamshed/store/requests.py
@@ -7,7 +7,7 @@
 
 from balsamshed.audit.entries import VersionedChange, list_versions
 from balsamshed.configuration.records import Record
-from balsamshed.platform.responses import (
+from balsamshed.store.responses import (
     FailureReason,
     ObjectMissing,
     PutAccepted,
--- a/balsamshed/platform/tests/test_requests.py
+++ b/balsamshed/store/tests/test_requests.py
@@ -5,7 +5,7 @@
 
 from balsamshed.audit.entries import ChangeEntry, append_change, read_changes
 from balsamshed.configuration.records import Record
-from balsamshed.platform.requests import (
+from balsamshed.store.requests import (
     PutObject,
     ReadObject,
     WriteAccepted,
@@ -15,7 +15,7 @@
     decide_step,
     start_write,
 )
-from balsamshed.platform.responses import (
+from balsamshed.store.responses import (
     FailureReason,
     ObjectMissing,
     PutAccepted,
--- a/balsamshed/platform/tests/test_session.py
+++ b/balsamshed/store/tests/test_session.py
@@ -1,6 +1,6 @@
 """Guards against a reader that stops reading or floods the store."""
 
-from balsamshed.platform.session import (
+from balsamshed.store.session import (
     MAX_BACKOFF_SECONDS,
     StoreCall,
     StoreSession,
--- a/testbed/capacity_model.py
+++ b/testbed/capacity_model.py
@@ -47,7 +47,7 @@
 from balsamshed.node.state import Node, create_node
 from balsamshed.placement import candidates
 from balsamshed.placement.messages import LoadReport
-from balsamshed.platform.session import WATCH_SECONDS
+from balsamshed.store.session import WATCH_SECONDS
 from testbed.platform import Conflict, Platform, StoredObject, write_object
 
 GROUP: Final = 'qc-est'
