Drop packets of unknown routes instead of resetting their flows

Change: only routes that an earlier version had are reset; the rest is dropped, and the caller repeats the packet.

--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -17,8 +17,13 @@
     apply_view,
 )
 from balsamshed.placement.in_flight import forget_endpoint
-from balsamshed.routes.table import RouteTable, choose_newer
-from balsamshed.steering.decisions import Steering, create_steering, is_ready
+from balsamshed.routes.table import RouteTable
+from balsamshed.steering.decisions import (
+    Steering,
+    create_steering,
+    is_ready,
+    replace_routes,
+)
 from balsamshed.steering.requests import expire_requests
 from balsamshed.store.reading import (
     ReadSchedule,
@@ -129,9 +134,8 @@
     """Take over the routes that the store has, unless they are older."""
     steering = edge.steering
     former = steering.routes
-    steering.routes = choose_newer(former, table)
     effects = _note_contact(edge, Source.ROUTES)
-    if steering.routes is not former:
+    if replace_routes(steering, table):
         effects.append(
             WriteEvent(
                 'routes_changed',
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -16,7 +16,7 @@
     note_answered,
     note_unanswered,
 )
-from balsamshed.routes.table import Route, RouteTable
+from balsamshed.routes.table import Route, RouteTable, choose_newer
 from balsamshed.steering.packets import (
     DropPacket,
     FlowPacket,
@@ -36,9 +36,11 @@
 #: was sent more recently than callers repeat it; the network may duplicate.
 REPEAT_SECONDS: Final = 0.1
 
+_NOT_READY: Final = DropPacket('not_ready')
 _NO_ROUTE: Final = ResetFlow('no_route')
 _ROUTE_REMOVED: Final = ResetFlow('route_removed')
 _NO_ENDPOINT: Final = ResetFlow('no_endpoint')
+_UNKNOWN_ROUTE: Final = DropPacket('unknown_route')
 _UNKNOWN_COOKIE: Final = DropPacket('unknown_cookie')
 
 
@@ -58,6 +60,8 @@
         Returns a random integer from 0 to below its argument.
     routes : RouteTable
         Routes in force.
+    removed_listeners : set of int
+        Listeners of earlier versions that have no route any more.
     """
 
     directory: Directory
@@ -65,6 +69,7 @@
     board: InFlightBoard
     draw: Callable[[int], int]
     routes: RouteTable = field(default_factory=RouteTable)
+    removed_listeners: set[int] = field(default_factory=set)
 
 
 def create_steering(
@@ -123,12 +128,10 @@
         Forward, reset or drop.
     """
     route = steering.routes.routes.get(packet.listener)
+    if route is None:
+        return _judge_unrouted(steering, packet)
     if packet.kind is PacketKind.OPENING:
-        if route is None:
-            return _NO_ROUTE
         return _open_flow(steering, packet, route, now)
-    if route is None:
-        return _ROUTE_REMOVED
     for share in route.shares:
         endpoint = find_endpoint(
             steering.directory,
@@ -141,6 +144,46 @@
     return _UNKNOWN_COOKIE
 
 
+def replace_routes(steering: Steering, table: RouteTable) -> bool:
+    """Put a newer version of the routes in force.
+
+    Parameters
+    ----------
+    steering : Steering
+        Changed in place.
+    table : RouteTable
+        Any version; an older one than that in force changes nothing.
+
+    Returns
+    -------
+    bool
+        Whether the table is in force now and was not before.
+    """
+    former = steering.routes
+    if choose_newer(former, table) is former:
+        return False
+    steering.routes = table
+    steering.removed_listeners.update(former.routes)
+    steering.removed_listeners.difference_update(table.routes)
+    return True
+
+
+def _judge_unrouted(
+    steering: Steering,
+    packet: FlowPacket,
+) -> SteeringEffect:
+    if steering.routes.version < 0:
+        # The routers may send packets before this balancer knows anything;
+        # the caller repeats them, and another balancer may take them.
+        return _NOT_READY
+    if packet.kind is PacketKind.OPENING:
+        return _NO_ROUTE
+    if packet.listener in steering.removed_listeners:
+        return _ROUTE_REMOVED
+    # Another balancer may have opened the flow under a newer version.
+    return _UNKNOWN_ROUTE
+
+
 def _open_flow(
     steering: Steering,
     packet: FlowPacket,
