Share load, suspicions and the store's revision between balancers

One read of the store confirms its revision for every balancer that hears of it; the others fetch a newer view from a peer, and read themselves when nothing has confirmed theirs for 0.8 s plus 0.2 s for each live peer before them.

--- /dev/null
+++ b/balsamshed/codecs/reports.py
@@ -0,0 +1,96 @@
+"""Encoding of reports between balancers.
+
+A report is sent ten times a second to several peers and has to be read before
+anything else of a process is loaded, so it is packed by `struct`; loading the
+thrift library takes longer than the rest of the start.
+
+Big-endian: format number, length of the data centre's name, number of
+endpoints, number of peers, revision, age in milliseconds; then the name, the
+endpoints (cookie, requests in flight with the suspicion as highest bit) and
+the addresses.
+"""
+
+from enum import StrEnum
+from socket import inet_aton, inet_ntoa
+from struct import Struct, error
+from typing import Final
+
+from balsamshed.peers.report import EndpointReport, Report
+
+#: Number of this format; another one is rejected.
+FORMAT: Final = 1
+#: A report fits into one packet of the network.
+MOST_ENDPOINTS: Final = 180
+
+_HEAD: Final = Struct('>BBBBqI')
+_ENDPOINT: Final = Struct('>IH')
+_ADDRESS_BYTES: Final = 4
+_SUSPECTED: Final = 1 << 15
+_MOST_IN_FLIGHT: Final = _SUSPECTED - 1
+_NO_AGE: Final = 0xFFFFFFFF
+_MILLISECONDS: Final = 1000
+
+
+class MalformedReport(StrEnum):
+    """Sentinel for a datagram that is no report."""
+
+    TOO_SHORT = 'too_short'
+    WRONG_FORMAT = 'wrong_format'
+    WRONG_LENGTH = 'wrong_length'
+
+
+def encode_report(report: Report) -> bytes:
+    """Return the datagram of a report."""
+    name = report.data_centre.encode()[:255]
+    endpoints = report.endpoints[:MOST_ENDPOINTS]
+    age = report.age_seconds * _MILLISECONDS
+    head = _HEAD.pack(
+        FORMAT,
+        len(name),
+        len(endpoints),
+        len(report.peers),
+        report.revision,
+        int(age) if age < _NO_AGE else _NO_AGE,
+    )
+    parts = [head, name]
+    for endpoint in endpoints:
+        count = min(endpoint.in_flight, _MOST_IN_FLIGHT)
+        if endpoint.is_suspected:
+            count |= _SUSPECTED
+        parts.append(_ENDPOINT.pack(endpoint.cookie, count))
+    parts.extend(map(inet_aton, report.peers))
+    return b''.join(parts)
+
+
+def decode_report(datagram: bytes) -> Report | MalformedReport:
+    """Return the report of a datagram, or what is wrong with it."""
+    try:
+        head = _HEAD.unpack_from(datagram)
+    except error:
+        return MalformedReport.TOO_SHORT
+    form, name_length, endpoint_count, peer_count, revision, age = head
+    if form != FORMAT:
+        return MalformedReport.WRONG_FORMAT
+    endpoints_at = _HEAD.size + name_length
+    peers_at = endpoints_at + endpoint_count * _ENDPOINT.size
+    if len(datagram) != peers_at + peer_count * _ADDRESS_BYTES:
+        return MalformedReport.WRONG_LENGTH
+    return Report(
+        datagram[_HEAD.size : endpoints_at].decode('utf-8', 'replace'),
+        revision,
+        float('inf') if age == _NO_AGE else age / _MILLISECONDS,
+        tuple(
+            EndpointReport(
+                cookie,
+                count & _MOST_IN_FLIGHT,
+                bool(count & _SUSPECTED),
+            )
+            for cookie, count in _ENDPOINT.iter_unpack(
+                datagram[endpoints_at:peers_at],
+            )
+        ),
+        tuple(
+            inet_ntoa(datagram[start : start + _ADDRESS_BYTES])
+            for start in range(peers_at, len(datagram), _ADDRESS_BYTES)
+        ),
+    )
--- a/balsamshed/edge/effects.py
+++ b/balsamshed/edge/effects.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from balsamshed.peers.report import Report
 from balsamshed.store.reading import Source
 
 
@@ -35,9 +36,38 @@
     fields: Mapping[str, object] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class FetchView:
+    """Effect: fetch the view of the store that a peer has.
+
+    Parameters
+    ----------
+    host : str
+        IPv4 address of the peer.
+    """
+
+    host: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendReport:
+    """Effect: send a report to peers.
+
+    Parameters
+    ----------
+    report : Report
+        State of this balancer.
+    hosts : tuple of str
+        IPv4 addresses of the peers.
+    """
+
+    report: Report
+    hosts: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StopProcess:
     """Effect: end the process."""
 
 
-EdgeEffect = ReadSource | WriteEvent | StopProcess
+EdgeEffect = ReadSource | FetchView | SendReport | WriteEvent | StopProcess
--- /dev/null
+++ b/balsamshed/edge/lifecycle.py
@@ -0,0 +1,105 @@
+"""Ticks, readiness and the stop of an edge balancer."""
+
+from typing import Final
+
+from balsamshed.edge.effects import (
+    EdgeEffect,
+    ReadSource,
+    SendReport,
+    StopProcess,
+    WriteEvent,
+)
+from balsamshed.edge.state import Edge
+from balsamshed.peers.report import EndpointReport, Report
+from balsamshed.peers.roster import (
+    choose_passed_on,
+    choose_targets,
+    expire_peers,
+    rank_reader,
+)
+from balsamshed.placement.in_flight import is_suspected
+from balsamshed.steering.requests import expire_requests
+from balsamshed.store.reading import (
+    Source,
+    get_age,
+    is_read_due,
+    start_read,
+)
+
+#: Time between ticks, and so between reports to peers.
+TICK_SECONDS: Final = 0.1
+#: A tick that comes this late means that the process was paused.
+PAUSE_SECONDS: Final = 0.6
+#: Reports that waited in the socket during a pause are read within this time.
+DISTRUST_SECONDS: Final = 0.3
+#: The routers check readiness twice a second and take a balancer out of
+#: rotation after two misses, so packets stop about 1.5 s after SIGTERM.
+LEAVE_SECONDS: Final = 1.8
+#: A balancer that still gets packets then stays a little longer.
+QUIET_SECONDS: Final = 0.3
+#: Time before the end of the grace period that is kept for the stop itself.
+STOP_RESERVE_SECONDS: Final = 1.0
+
+
+def handle_tick(edge: Edge, now: float) -> list[EdgeEffect]:
+    """Do what is due."""
+    effects = _note_pause(edge, now)
+    expire_requests(edge.steering.requests, now)
+    for host in expire_peers(edge.roster, now):
+        effects.append(WriteEvent('peer_lost', {'peer': host}))
+    if is_read_due(edge.reads, rank_reader(edge.roster), now):
+        start_read(edge.reads, now)
+        effects.append(ReadSource(Source.ENDPOINTS))
+    targets = choose_targets(edge.roster)
+    if targets:
+        effects.append(SendReport(create_report(edge, now), targets))
+    if edge.leaving_since is not None and _may_stop(edge, now):
+        effects.append(StopProcess())
+    return effects
+
+
+def handle_stop(edge: Edge, now: float) -> list[EdgeEffect]:
+    """Leave the rotation; the process ends once no packets arrive."""
+    if edge.leaving_since is not None:
+        return []
+    edge.leaving_since = now
+    return [WriteEvent('leaving')]
+
+
+def create_report(edge: Edge, now: float) -> Report:
+    """Return what this balancer tells its peers."""
+    board = edge.steering.board
+    suspected = {
+        cookie
+        for cookie in board.suspicions
+        if is_suspected(board, cookie, now)
+    }
+    cookies = board.own.keys() | suspected
+    return Report(
+        edge.data_centre,
+        edge.reads.revision,
+        get_age(edge.reads, now),
+        tuple(
+            EndpointReport(cookie, board.own.get(cookie, 0), cookie in suspected)
+            for cookie in cookies
+        ),
+        choose_passed_on(edge.roster, edge.draw),
+    )
+
+
+def _note_pause(edge: Edge, now: float) -> list[EdgeEffect]:
+    gap = now - edge.last_tick_at
+    edge.last_tick_at = now
+    if gap < PAUSE_SECONDS:
+        return []
+    edge.distrusted_until = now + DISTRUST_SECONDS
+    return [WriteEvent('paused', {'seconds': round(gap, 3)})]
+
+
+def _may_stop(edge: Edge, now: float) -> bool:
+    elapsed = now - (edge.leaving_since or 0)
+    if elapsed >= edge.grace_seconds - STOP_RESERVE_SECONDS:
+        return True
+    return (
+        elapsed >= LEAVE_SECONDS and now - edge.last_packet_at > QUIET_SECONDS
+    )
--- /dev/null
+++ b/balsamshed/edge/views.py
@@ -0,0 +1,212 @@
+"""How an edge balancer takes over views of the store."""
+
+from typing import Final
+
+from balsamshed.edge.effects import (
+    EdgeEffect,
+    FetchView,
+    ReadSource,
+    WriteEvent,
+)
+from balsamshed.edge.state import Edge
+from balsamshed.endpoints.directory import (
+    ChangeKind,
+    EndpointChange,
+    EndpointView,
+    apply_view,
+)
+from balsamshed.peers.report import Report
+from balsamshed.peers.roster import list_holders, note_report
+from balsamshed.placement.in_flight import forget_endpoint
+from balsamshed.routes.table import RouteTable
+from balsamshed.steering.decisions import Steering, is_ready, replace_routes
+from balsamshed.store.reading import (
+    Source,
+    adopt_revision,
+    confirm_revision,
+    fail_read,
+    finish_read,
+    get_age,
+    needs_routes,
+)
+
+_FORGETTING_KINDS: Final = frozenset(
+    (ChangeKind.ADDED, ChangeKind.RESTARTED, ChangeKind.REMOVED),
+)
+
+
+def handle_endpoints(
+    edge: Edge,
+    view: EndpointView,
+    now: float,
+) -> list[EdgeEffect]:
+    """Take over the endpoints that the store lists."""
+    effects = _apply_endpoints(edge.steering, view, now)
+    if needs_routes(edge.reads, view.revision):
+        effects.append(ReadSource(Source.ROUTES))
+    else:
+        effects.extend(_finish(edge))
+    return effects + _note_readiness(edge, now)
+
+
+def handle_routes(
+    edge: Edge,
+    table: RouteTable,
+    now: float,
+) -> list[EdgeEffect]:
+    """Take over the routes that the store has, unless they are older."""
+    effects = _apply_routes(edge.steering, table)
+    effects.extend(_finish(edge))
+    return effects + _note_readiness(edge, now)
+
+
+def handle_read_failed(
+    edge: Edge,
+    source: Source,
+    reason: str,
+    now: float,
+) -> list[EdgeEffect]:
+    """Go on with what is known; read again soon, or ask a peer."""
+    if source is Source.PEER_VIEW:
+        edge.fetching_since = None
+        return [WriteEvent('peer_view_failed', {'reason': reason})]
+    if not fail_read(edge.reads, now, edge.draw):
+        return []
+    age = get_age(edge.reads, now)
+    fields = {
+        'source': source,
+        'reason': reason,
+        'age_seconds': round(age, 3),
+    }
+    return [WriteEvent('store_lost', fields)]
+
+
+def handle_report(
+    edge: Edge,
+    host: str,
+    report: Report,
+    now: float,
+) -> list[EdgeEffect]:
+    """Take over what a peer reports."""
+    effects: list[EdgeEffect] = []
+    if note_report(edge.roster, host, report, now):
+        effects.append(
+            WriteEvent(
+                'peer_found',
+                {'peer': host, 'data_centre': report.data_centre},
+            ),
+        )
+    if now < edge.distrusted_until:
+        # The age in the report may be older by the length of a pause.
+        return effects
+    confirm_revision(edge.reads, report.revision, now - report.age_seconds)
+    if report.revision > edge.reads.revision and edge.fetching_since is None:
+        holders = list_holders(
+            edge.roster,
+            edge.reads.revision,
+            edge.data_centre,
+        )
+        if holders:
+            edge.fetching_since = now
+            effects.append(FetchView(holders[edge.draw(len(holders))]))
+    return effects
+
+
+def handle_peer_view(
+    edge: Edge,
+    routes: RouteTable,
+    view: EndpointView,
+    now: float,
+) -> list[EdgeEffect]:
+    """Take over a peer's view of the store if it is newer."""
+    edge.fetching_since = None
+    if view.revision <= edge.reads.revision:
+        return []
+    effects = _apply_routes(edge.steering, routes)
+    effects.extend(_apply_endpoints(edge.steering, view, now))
+    # A report of the same revision confirms it; without one the store is read.
+    adopt_revision(edge.reads, view.revision, edge.reads.confirmed_at)
+    return effects + _note_readiness(edge, now)
+
+
+def get_view(edge: Edge) -> tuple[RouteTable, EndpointView]:
+    """Return what peers may fetch: routes, and endpoints at a revision."""
+    endpoints = tuple(edge.steering.directory.endpoints.values())
+    return edge.steering.routes, EndpointView(edge.reads.revision, endpoints)
+
+
+def _finish(edge: Edge) -> list[EdgeEffect]:
+    if finish_read(edge.reads):
+        return [WriteEvent('store_regained', {'revision': edge.reads.revision})]
+    return []
+
+
+def _apply_endpoints(
+    steering: Steering,
+    view: EndpointView,
+    now: float,
+) -> list[EdgeEffect]:
+    effects: list[EdgeEffect] = []
+    for change in apply_view(steering.directory, view, now):
+        _adapt_board(steering, change, now)
+        effects.append(_describe_change(change, view.revision))
+    return effects
+
+
+def _apply_routes(
+    steering: Steering,
+    table: RouteTable,
+) -> list[EdgeEffect]:
+    former = steering.routes.version
+    fields = {'version': table.version, 'former_version': former}
+    if replace_routes(steering, table):
+        fields['routes'] = len(table.routes)
+        return [WriteEvent('routes_changed', fields)]
+    if table.version < former:
+        return [WriteEvent('older_routes_ignored', fields)]
+    return []
+
+
+def _adapt_board(
+    steering: Steering,
+    change: EndpointChange,
+    now: float,
+) -> None:
+    endpoint = change.endpoint
+    if change.kind in _FORGETTING_KINDS:
+        forget_endpoint(steering.board, endpoint.cookie)
+    if endpoint.warm_up_seconds > 0:
+        steering.board.warm_until[endpoint.cookie] = (
+            now + endpoint.warm_up_seconds
+        )
+
+
+def _describe_change(change: EndpointChange, revision: int) -> WriteEvent:
+    endpoint = change.endpoint
+    return WriteEvent(
+        f'endpoint_{change.kind}',
+        {
+            'endpoint': f'{endpoint.instance:x}',
+            'service': endpoint.service,
+            'address': f'{endpoint.host}:{endpoint.port}',
+            'data_centre': endpoint.data_centre,
+            'sequence': endpoint.sequence,
+            'revision': revision,
+        },
+    )
+
+
+def _note_readiness(edge: Edge, now: float) -> list[EdgeEffect]:
+    if edge.was_ready or not is_ready(edge.steering):
+        return []
+    edge.was_ready = True
+    return [
+        WriteEvent(
+            'ready',
+            {
+                'after_seconds': round(now - edge.started_at, 3),
+                'version': edge.steering.routes.version,
+                'endpoints': len(edge.steering.directory.endpoints),
+            },
+        ),
+    ]
--- a/balsamshed/endpoints/directory.py
+++ b/balsamshed/endpoints/directory.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from balsamshed.endpoints.endpoint import Endpoint, derive_cookie
+from balsamshed.endpoints.endpoint import Endpoint
 
 
 class ChangeKind(StrEnum):
@@ -180,7 +180,7 @@
     by_cookie: dict[tuple[str, int], Endpoint] = {}
     services: dict[str, list[Endpoint]] = {}
     for endpoint in _order_endpoints(directory):
-        key = (endpoint.service, derive_cookie(endpoint.instance))
+        key = (endpoint.service, endpoint.cookie)
         # Two identities may fold to one cookie: the first keeps it on every
         # balancer, and the other gets no flows.
         if by_cookie.setdefault(key, endpoint) is not endpoint:
--- a/balsamshed/endpoints/endpoint.py
+++ b/balsamshed/endpoints/endpoint.py
@@ -52,6 +52,11 @@
     warm_up_seconds: float = 0
     sequence: int = 0
 
+    @property
+    def cookie(self) -> int:
+        """Cookie that names the endpoint in packets."""
+        return derive_cookie(self.instance)
+
 
 def derive_cookie(instance: int) -> int:
     """Return the cookie of an endpoint: 32 bits that any balancer derives.
--- a/balsamshed/front_ends/packet_socket.py
+++ b/balsamshed/front_ends/datagram_socket.py
@@ -1,4 +1,4 @@
-"""UDP socket for packets of callers."""
+"""UDP socket of an event loop."""
 
 import socket
 from asyncio import AbstractEventLoop
@@ -9,7 +9,7 @@
 
 #: Datagrams that are taken before timers and other sockets get their turn.
 DATAGRAMS_PER_TURN: Final = 64
-#: A packet has at most 1,236 bytes; anything longer is cut and rejected.
+#: Packets have at most 1,236 bytes and reports 1,400; the rest is cut.
 LARGEST_DATAGRAM_BYTES: Final = 2048
 #: What the kernel may queue while the process is busy.
 RECEIVE_BUFFER_BYTES: Final = 1024 * 1024
@@ -18,7 +18,7 @@
 TakeDatagram = Callable[[bytes, tuple[str, int]], None]
 
 
-class PacketSocket:
+class DatagramSocket:
     """A UDP socket that an event loop watches.
 
     The loop's own datagram transport makes a call more for each datagram.
--- a/balsamshed/front_ends/http_session.py
+++ b/balsamshed/front_ends/http_session.py
@@ -109,6 +109,10 @@
         self._close()
         self._settle(HttpFailure(reason))
 
+    def close(self) -> None:
+        """Close the connection; nothing is in progress."""
+        self._close()
+
     def end_connection(self, connection: '_ClientConnection') -> None:
         """Take note that the server has closed a connection."""
         if connection is self._connection:
--- a/balsamshed/placement/in_flight.py
+++ b/balsamshed/placement/in_flight.py
@@ -14,6 +14,9 @@
 REMOTE_PENALTY_REQUESTS: Final = 1.0
 #: An endpoint that warms up takes longer for each request.
 WARM_UP_PENALTY_REQUESTS: Final = 1.0
+#: What another balancer suspects is avoided while others are idle, but one
+#: witness does not take an endpoint out of service for all.
+SUSPECTED_PENALTY_REQUESTS: Final = 4.0
 #: An opening packet is answered in a few milliseconds, so one that its caller
 #: repeats after 200 ms was lost or met an endpoint that is down or full.
 FIRST_SUSPICION_SECONDS: Final = 0.5
@@ -52,18 +55,21 @@
     data_centre : str
         Data centre of this balancer.
     own : mapping of int to int
-        Requests in flight that this balancer sees, by endpoint.
-    peers : dict of int to int
-        Requests in flight that other balancers see, by endpoint.
+        Requests in flight that this balancer sees, by cookie.
+    peers : mapping of int to int
+        Requests in flight that other balancers see, by cookie.
+    suspecting : mapping of int to int
+        Other balancers that suspect an endpoint, by cookie.
     suspicions : dict of int to Suspicion
-        By endpoint; only endpoints with unanswered openings.
+        By cookie; only endpoints with unanswered openings.
     warm_until : dict of int to float
         Monotonic seconds at which an endpoint is no longer cold.
     """
 
     data_centre: str
     own: Mapping[int, int]
-    peers: dict[int, int] = field(default_factory=dict)
+    peers: Mapping[int, int]
+    suspecting: Mapping[int, int]
     suspicions: dict[int, Suspicion] = field(default_factory=dict)
     warm_until: dict[int, float] = field(default_factory=dict)
 
@@ -84,7 +90,7 @@
     candidates : sequence of Endpoint
         Endpoints of one service that take new flows.
     avoided : int or None
-        An endpoint that did not answer this flow's last opening packet; taken
+        Cookie of an endpoint that did not answer this flow's last opening packet; taken
         only if there is no other.
     draw : callable
         Random source, which decides between equal scores.
@@ -104,8 +110,8 @@
     start = draw(count)
     for offset in range(min(count, MOST_COMPARED)):
         endpoint = candidates[(start + offset) % count]
-        instance = endpoint.instance
-        if instance == avoided or is_suspected(board, instance, now):
+        cookie = endpoint.cookie
+        if cookie == avoided or is_suspected(board, cookie, now):
             continue
         score = score_endpoint(board, endpoint, now)
         if score < best_score:
@@ -122,29 +128,31 @@
     now: float,
 ) -> float:
     """Return the load that a new request would meet, in requests per slot."""
-    instance = endpoint.instance
-    load = board.own.get(instance, 0) + board.peers.get(instance, 0)
+    cookie = endpoint.cookie
+    load = board.own.get(cookie, 0) + board.peers.get(cookie, 0)
     penalty = 0.0
     if endpoint.data_centre != board.data_centre:
         penalty += REMOTE_PENALTY_REQUESTS
-    if board.warm_until.get(instance, 0) > now:
+    if board.warm_until.get(cookie, 0) > now:
         penalty += WARM_UP_PENALTY_REQUESTS
+    if cookie in board.suspecting:
+        penalty += SUSPECTED_PENALTY_REQUESTS
     return (load + penalty) / endpoint.slots
 
 
-def is_suspected(board: InFlightBoard, instance: int, now: float) -> bool:
+def is_suspected(board: InFlightBoard, cookie: int, now: float) -> bool:
     """Tell whether an endpoint is avoided at the moment."""
-    suspicion = board.suspicions.get(instance)
+    suspicion = board.suspicions.get(cookie)
     return suspicion is not None and suspicion.until > now
 
 
 def note_unanswered(
     board: InFlightBoard,
-    instance: int,
+    cookie: int,
     now: float,
 ) -> Suspicion:
     """Note that an endpoint left an opening packet unanswered."""
-    suspicion = board.suspicions.setdefault(instance, Suspicion())
+    suspicion = board.suspicions.setdefault(cookie, Suspicion())
     if suspicion.until <= now:
         # Openings sent before the suspicion began count once.
         suspicion.failures += 1
@@ -154,13 +162,12 @@
     return suspicion
 
 
-def note_answered(board: InFlightBoard, instance: int) -> None:
+def note_answered(board: InFlightBoard, cookie: int) -> None:
     """Note that an endpoint answered an opening packet."""
-    board.suspicions.pop(instance, None)
+    board.suspicions.pop(cookie, None)
 
 
-def forget_endpoint(board: InFlightBoard, instance: int) -> None:
+def forget_endpoint(board: InFlightBoard, cookie: int) -> None:
     """Forget what was known about an endpoint that left or started again."""
-    board.suspicions.pop(instance, None)
-    board.warm_until.pop(instance, None)
-    board.peers.pop(instance, None)
+    board.suspicions.pop(cookie, None)
+    board.warm_until.pop(cookie, None)
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -9,7 +9,8 @@
     find_endpoint,
     list_open_endpoints,
 )
-from balsamshed.endpoints.endpoint import Endpoint, derive_cookie
+from balsamshed.endpoints.endpoint import Endpoint
+from balsamshed.peers.roster import Roster
 from balsamshed.placement.in_flight import (
     InFlightBoard,
     choose_least_busy,
@@ -75,6 +76,7 @@
 def create_steering(
     data_centre: str,
     flow_lifetime_seconds: float,
+    roster: Roster,
     draw: Callable[[int], int],
 ) -> Steering:
     """Create the state of a balancer that knows nothing yet.
@@ -85,6 +87,8 @@
         Data centre of the balancer.
     flow_lifetime_seconds : float
         Longest life of a flow.
+    roster : Roster
+        What other balancers report of endpoints.
     draw : callable
         Returns a random integer from 0 to below its argument.
     """
@@ -92,7 +96,12 @@
     return Steering(
         Directory(flow_lifetime_seconds),
         requests,
-        InFlightBoard(data_centre, requests.counts),
+        InFlightBoard(
+            data_centre,
+            requests.counts,
+            roster.in_flight,
+            roster.suspecting,
+        ),
         draw,
     )
 
@@ -132,16 +141,11 @@
         return _judge_unrouted(steering, packet)
     if packet.kind is PacketKind.OPENING:
         return _open_flow(steering, packet, route, now)
-    for share in route.shares:
-        endpoint = find_endpoint(
-            steering.directory,
-            share.service,
-            packet.cookie,
-        )
-        if endpoint is not None:
-            _observe(steering, packet, endpoint, now)
-            return ForwardFlow(endpoint, packet.cookie)
-    return _UNKNOWN_COOKIE
+    endpoint = _find_on_route(steering, route, packet.cookie)
+    if endpoint is None:
+        return _UNKNOWN_COOKIE
+    _observe(steering, packet, now)
+    return ForwardFlow(endpoint, packet.cookie)
 
 
 def replace_routes(steering: Steering, table: RouteTable) -> bool:
@@ -194,11 +198,11 @@
     former = steering.requests.pending.get(packet.flow_key)
     if former is not None and former.progress is Progress.OPENING:
         if now - former.since < REPEAT_SECONDS:
-            known = steering.directory.endpoints.get(former.instance)
+            known = _find_on_route(steering, route, former.cookie)
             if known is not None and not known.is_draining:
-                return ForwardFlow(known, derive_cookie(known.instance))
+                return ForwardFlow(known, former.cookie)
         elif packet.attempt:
-            avoided = former.instance
+            avoided = former.cookie
             note_unanswered(steering.board, avoided, now)
     endpoint = choose_least_busy(
         steering.board,
@@ -212,13 +216,9 @@
     )
     if endpoint is None:
         return _NO_ENDPOINT
-    start_opening(
-        steering.requests,
-        packet.flow_key,
-        endpoint.instance,
-        now,
-    )
-    return ForwardFlow(endpoint, derive_cookie(endpoint.instance))
+    cookie = endpoint.cookie
+    start_opening(steering.requests, packet.flow_key, cookie, now)
+    return ForwardFlow(endpoint, cookie)
 
 
 def _choose_service(steering: Steering, route: Route) -> str:
@@ -233,19 +233,22 @@
     return shares[-1].service
 
 
-def _observe(
+def _find_on_route(
     steering: Steering,
-    packet: FlowPacket,
-    endpoint: Endpoint,
-    now: float,
-) -> None:
-    observation = observe_packet(
-        steering.requests,
-        packet,
-        endpoint.instance,
-        now,
-    )
+    route: Route,
+    cookie: int,
+) -> Endpoint | None:
+    for share in route.shares:
+        endpoint = find_endpoint(steering.directory, share.service, cookie)
+        if endpoint is not None:
+            return endpoint
+    return None
+
+
+def _observe(steering: Steering, packet: FlowPacket, now: float) -> None:
+    cookie = packet.cookie
+    observation = observe_packet(steering.requests, packet, cookie, now)
     if observation is None:
         return
     if observation.opened_after_seconds is not None:
-        note_answered(steering.board, endpoint.instance)
+        note_answered(steering.board, cookie)
--- a/balsamshed/steering/requests.py
+++ b/balsamshed/steering/requests.py
@@ -34,8 +34,8 @@
 
     Attributes
     ----------
-    instance : int
-        Endpoint that has it.
+    cookie : int
+        Cookie of the endpoint that has it.
     progress : Progress
         How far it has got.
     since : float
@@ -44,7 +44,7 @@
         What the caller had acknowledged when it sent the request.
     """
 
-    instance: int
+    cookie: int
     progress: Progress
     since: float
     acknowledged: int = 0
@@ -56,15 +56,15 @@
 
     Parameters
     ----------
-    instance : int
-        The endpoint.
+    cookie : int
+        Cookie of the endpoint.
     opened_after_seconds : float or None
         Time from the opening packet to the caller's next one.
     answered_after_seconds : float or None
         Time from the request to its answer.
     """
 
-    instance: int
+    cookie: int
     opened_after_seconds: float | None = None
     answered_after_seconds: float | None = None
 
@@ -78,7 +78,7 @@
     pending : dict of bytes to PendingRequest
         By flow key, in the order of their start.
     counts : dict of int to int
-        Pending requests of each endpoint.
+        Pending requests of each endpoint, by cookie.
     """
 
     pending: dict[bytes, PendingRequest] = field(default_factory=dict)
@@ -88,7 +88,7 @@
 def start_opening(
     table: RequestTable,
     flow_key: bytes,
-    instance: int,
+    cookie: int,
     now: float,
 ) -> None:
     """Note that an opening packet was sent to an endpoint."""
@@ -96,14 +96,14 @@
     _add_request(
         table,
         flow_key,
-        PendingRequest(instance, Progress.OPENING, now),
+        PendingRequest(cookie, Progress.OPENING, now),
     )
 
 
 def observe_packet(
     table: RequestTable,
     packet: FlowPacket,
-    instance: int,
+    cookie: int,
     now: float,
 ) -> Observation | None:
     """Follow a packet of an open flow.
@@ -114,8 +114,8 @@
         Changed in place.
     packet : FlowPacket
         Any packet but an opening one.
-    instance : int
-        Endpoint of the flow.
+    cookie : int
+        Cookie of the flow's endpoint.
     now : float
         Monotonic seconds.
 
@@ -127,7 +127,7 @@
     request = table.pending.get(packet.flow_key)
     if request is None:
         if packet.kind is PacketKind.DATA:
-            _await_answer(table, packet, instance, now)
+            _await_answer(table, packet, cookie, now)
         return None
     if request.progress is Progress.AWAITING_ANSWER:
         return _observe_answer(table, packet, request, now)
@@ -139,10 +139,10 @@
         end_request(table, packet.flow_key)
     elif packet.kind is PacketKind.DATA:
         end_request(table, packet.flow_key)
-        _await_answer(table, packet, instance, now)
+        _await_answer(table, packet, cookie, now)
     if opened_after is None:
         return None
-    return Observation(instance, opened_after_seconds=opened_after)
+    return Observation(cookie, opened_after_seconds=opened_after)
 
 
 def end_request(table: RequestTable, flow_key: bytes) -> None:
@@ -150,11 +150,11 @@
     request = table.pending.pop(flow_key, None)
     if request is None:
         return
-    count = table.counts.get(request.instance, 0) - 1
+    count = table.counts.get(request.cookie, 0) - 1
     if count > 0:
-        table.counts[request.instance] = count
+        table.counts[request.cookie] = count
     else:
-        table.counts.pop(request.instance, None)
+        table.counts.pop(request.cookie, None)
 
 
 def expire_requests(table: RequestTable, now: float) -> tuple[bytes, ...]:
@@ -195,12 +195,12 @@
     end_request(table, packet.flow_key)
     if packet.kind is PacketKind.DATA:
         # The next request of the flow; its data acknowledges the answer.
-        _await_answer(table, packet, request.instance, now)
+        _await_answer(table, packet, request.cookie, now)
         return None
     if not is_answered:
         return None
     return Observation(
-        request.instance,
+        request.cookie,
         answered_after_seconds=now - request.since,
     )
 
@@ -208,11 +208,11 @@
 def _await_answer(
     table: RequestTable,
     packet: FlowPacket,
-    instance: int,
+    cookie: int,
     now: float,
 ) -> None:
     request = PendingRequest(
-        instance,
+        cookie,
         Progress.AWAITING_ANSWER,
         now,
         packet.acknowledged,
@@ -227,4 +227,4 @@
 ) -> None:
     table.pending[flow_key] = request
     counts = table.counts
-    counts[request.instance] = counts.get(request.instance, 0) + 1
+    counts[request.cookie] = counts.get(request.cookie, 0) + 1
--- a/balsamshed/store/reading.py
+++ b/balsamshed/store/reading.py
@@ -2,115 +2,143 @@
 
 A watch that stays silent does not prove that nothing changed, since the store
 may drop its history while the watch waits. What a balancer believes is
-therefore read again at a fixed interval, so that its age is bounded.
+therefore confirmed at a fixed interval, so that its age is bounded. One read
+confirms it for every balancer that hears of it: the store counts its changes
+in one revision.
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
 
-#: Time between two reads of one source. With the call's own time it stays far
-#: below the 3 s in which a drain has to be in force.
-READ_INTERVAL_SECONDS: Final = 1.0
+#: Age at which the first reader reads again. With the call's own time, and
+#: the next reader's turn, it stays below the 3 s in which drains are in force.
+READ_INTERVAL_SECONDS: Final = 0.8
+#: How much later each further reader reads, unless one before it has.
+READER_STEP_SECONDS: Final = 0.2
+#: Age at which everybody reads, whatever its rank.
+LATEST_READ_SECONDS: Final = 1.6
 #: A read without a response is given up after this time. A slow store takes
 #: 60 times its usual 4 ms.
-READ_TIMEOUT_SECONDS: Final = 1.0
+READ_TIMEOUT_SECONDS: Final = 0.7
 #: First wait after a failed read, doubled for each further one.
 FIRST_RETRY_SECONDS: Final = 0.1
 LONGEST_RETRY_SECONDS: Final = 0.8
+#: Draws from 0 to below this number spread the waits.
+_JITTER_STEPS: Final = 1024
 
 
 class Source(StrEnum):
-    """What is read from the store."""
+    """What is read from the store, or from a peer."""
 
     ENDPOINTS = 'endpoints'
     ROUTES = 'routes'
+    PEER_VIEW = 'peer_view'
 
 
 @dataclass(slots=True)
-class SourceState:
-    """Reads of one source.
+class ReadState:
+    """Reads of the store by one balancer.
 
     Attributes
     ----------
-    due_at : float
-        Monotonic seconds of the next read.
+    revision : int
+        Revision of the store that the balancer's view shows; -1 before the
+        first one.
+    confirmed_at : float or None
+        When the store confirmed that revision as the current one.
     started_at : float or None
         Start of the read in progress.
-    confirmed_at : float or None
-        Start of the last read that succeeded: what is believed was true then.
+    reading_revision : int
+        Revision of the endpoints whose routes are being read.
+    retry_at : float
+        No read starts before, after a failed one.
     failures : int
-        Failed reads since then.
+        Reads that failed since one succeeded.
     """
 
-    due_at: float = 0
-    started_at: float | None = None
+    revision: int = -1
     confirmed_at: float | None = None
+    started_at: float | None = None
+    reading_revision: int = -1
+    retry_at: float = 0
     failures: int = 0
 
 
-@dataclass(slots=True)
-class ReadSchedule:
-    """Reads of all sources.
+def is_read_due(state: ReadState, rank: int, now: float) -> bool:
+    """Tell whether a balancer should read the store now.
 
-    Attributes
+    Parameters
     ----------
-    sources : dict of Source to SourceState
-        One entry for each source.
+    state : ReadState
+        Reads of this balancer.
+    rank : int
+        How many live balancers read before it.
+    now : float
+        Seconds of the balancer's clock.
     """
-
-    sources: dict[Source, SourceState] = field(
-        default_factory=lambda: {source: SourceState() for source in Source},
+    if state.started_at is not None or now < state.retry_at:
+        return False
+    if state.confirmed_at is None:
+        return True
+    delay = min(
+        READ_INTERVAL_SECONDS + rank * READER_STEP_SECONDS,
+        LATEST_READ_SECONDS,
     )
+    return now - state.confirmed_at >= delay
 
 
-def take_due_reads(schedule: ReadSchedule, now: float) -> tuple[Source, ...]:
-    """Return the sources to read now, and note that their reads start."""
-    due = tuple(
-        source
-        for source, state in schedule.sources.items()
-        if state.started_at is None and state.due_at <= now
-    )
-    for source in due:
-        schedule.sources[source].started_at = now
-    return due
+def start_read(state: ReadState, now: float) -> None:
+    """Note that a read starts."""
+    state.started_at = now
 
 
-def note_read(schedule: ReadSchedule, source: Source) -> bool:
-    """Note that a read succeeded.
+def needs_routes(state: ReadState, revision: int) -> bool:
+    """Tell whether the routes may differ since the last confirmed revision.
+
+    Parameters
+    ----------
+    state : ReadState
+        Changed in place: the revision is kept for the end of the read.
+    revision : int
+        Revision that the list of endpoints shows.
+    """
+    state.reading_revision = revision
+    return revision != state.revision
+
+
+def finish_read(state: ReadState) -> bool:
+    """Note that a read is complete.
 
     Returns
     -------
     bool
-        Whether the store had failed before, so that contact is regained.
+        Whether reads had failed before, so that contact is regained.
     """
-    state = schedule.sources[source]
-    started_at = state.started_at or 0
-    was_failing = state.failures > 0
-    state.confirmed_at = started_at
-    state.due_at = started_at + READ_INTERVAL_SECONDS
+    if state.reading_revision >= state.revision:
+        state.revision = state.reading_revision
+        state.confirmed_at = state.started_at
     state.started_at = None
+    was_failing = state.failures > 0
     state.failures = 0
+    state.retry_at = 0
     return was_failing
 
 
-def note_read_failed(
-    schedule: ReadSchedule,
-    source: Source,
+def fail_read(
+    state: ReadState,
     now: float,
     draw: Callable[[int], int],
 ) -> bool:
-    """Note that a read failed, and choose when it is repeated.
+    """Note that a read failed, and choose when it may be repeated.
 
     Parameters
     ----------
-    schedule : ReadSchedule
+    state : ReadState
         Changed in place.
-    source : Source
-        What was read.
     now : float
-        Monotonic seconds.
+        Seconds of the balancer's clock.
     draw : callable
         Returns a random integer from 0 to below its argument; spreads the
         repetitions of balancers that failed together.
@@ -120,18 +148,46 @@
     bool
         Whether this is the first failure since a read succeeded.
     """
-    state = schedule.sources[source]
     state.started_at = None
     wait = min(
         FIRST_RETRY_SECONDS * (1 << min(state.failures, 8)),
         LONGEST_RETRY_SECONDS,
     )
-    state.due_at = now + wait * (0.5 + draw(512) / 1024)
+    share = (1 + draw(_JITTER_STEPS) / _JITTER_STEPS) / 2
+    state.retry_at = now + wait * share
     state.failures += 1
     return state.failures == 1
 
 
-def get_age(schedule: ReadSchedule, source: Source, now: float) -> float:
-    """Return the age of what is believed, in seconds; infinite before it."""
-    confirmed_at = schedule.sources[source].confirmed_at
-    return float('inf') if confirmed_at is None else now - confirmed_at
+def confirm_revision(
+    state: ReadState,
+    revision: int,
+    confirmed_at: float,
+) -> None:
+    """Take over from a peer that a revision was current at a time.
+
+    It says something about this balancer's view only if that shows the same
+    revision.
+    """
+    if revision != state.revision:
+        return
+    if state.confirmed_at is None or confirmed_at > state.confirmed_at:
+        state.confirmed_at = confirmed_at
+
+
+def adopt_revision(
+    state: ReadState,
+    revision: int,
+    confirmed_at: float | None,
+) -> None:
+    """Note that a peer's view with a newer revision was taken over."""
+    if revision > state.revision:
+        state.revision = revision
+        state.confirmed_at = confirmed_at
+
+
+def get_age(state: ReadState, now: float) -> float:
+    """Return the age of what is believed, in seconds; infinite at first."""
+    if state.confirmed_at is None:
+        return float('inf')
+    return now - state.confirmed_at
