Keep endpoints whose entries lapsed with the store; start without collections

Change: endpoints missing within 2 s of a failed read are kept for 2.2 s; the collector is off until the process serves.

--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -10,6 +10,8 @@
     WriteEvent,
 )
 from balsamshed.edge.state import Edge
+from balsamshed.edge.views import note_changes
+from balsamshed.endpoints.directory import remove_missing
 from balsamshed.peers.report import EndpointReport, Report
 from balsamshed.peers.roster import (
     choose_passed_on,
@@ -44,7 +46,10 @@
 def handle_tick(edge: Edge, now: float) -> list[EdgeEffect]:
     """Do what is due."""
     effects = _note_pause(edge, now)
-    expire_requests(edge.steering.requests, now)
+    steering = edge.steering
+    expire_requests(steering.requests, now)
+    changes = remove_missing(steering.directory, now)
+    effects.extend(note_changes(steering, changes, now))
     for host in expire_peers(edge.roster, now):
         effects.append(WriteEvent('peer_lost', {'peer': host}))
     if is_read_due(edge.reads, rank_reader(edge.roster), now):
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -1,5 +1,6 @@
 """How an edge balancer takes over views of the store."""
 
+from collections.abc import Iterable
 from typing import Final
 
 from balsamshed.edge.effects import (
@@ -28,6 +29,7 @@
     finish_read,
     get_age,
     needs_routes,
+    was_away,
 )
 
 _FORGETTING_KINDS: Final = frozenset(
@@ -41,7 +43,7 @@
     now: float,
 ) -> list[EdgeEffect]:
     """Take over the endpoints that the store lists."""
-    effects = _apply_endpoints(edge.steering, view, now)
+    effects = _apply_endpoints(edge, view, now)
     if needs_routes(edge.reads, view.revision):
         effects.append(ReadSource(Source.ROUTES))
     else:
@@ -123,7 +125,7 @@
     if view.revision <= edge.reads.revision:
         return []
     effects = _apply_routes(edge.steering, routes)
-    effects.extend(_apply_endpoints(edge.steering, view, now))
+    effects.extend(_apply_endpoints(edge, view, now))
     # A report of the same revision confirms it; without one the store is read.
     adopt_revision(edge.reads, view.revision, edge.reads.confirmed_at)
     return effects + _note_readiness(edge, now)
@@ -141,18 +143,34 @@
     return []
 
 
-def _apply_endpoints(
+def note_changes(
     steering: Steering,
-    view: EndpointView,
+    changes: Iterable[EndpointChange],
     now: float,
 ) -> list[EdgeEffect]:
+    """Adapt what is known of endpoints to changes, and log them."""
     effects: list[EdgeEffect] = []
-    for change in apply_view(steering.directory, view, now):
+    for change in changes:
         _adapt_board(steering, change, now)
-        effects.append(_describe_change(change, view.revision))
+        effects.append(_describe_change(change, steering.directory.revision))
     return effects
 
 
+def _apply_endpoints(
+    edge: Edge,
+    view: EndpointView,
+    now: float,
+) -> list[EdgeEffect]:
+    steering = edge.steering
+    changes = apply_view(
+        steering.directory,
+        view,
+        now,
+        keeps_missing=was_away(edge.reads, now),
+    )
+    return note_changes(steering, changes, now)
+
+
 def _apply_routes(
     steering: Steering,
     table: RouteTable,
--- a/balsamshed/endpoints/directory.py
+++ b/balsamshed/endpoints/directory.py
@@ -3,10 +3,16 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Final
 
 from balsamshed.endpoints.endpoint import Endpoint
 
 
+#: How long an endpoint that vanished with the store's outage is kept: live ones
+#: are back within two seconds of its return.
+MISSING_KEPT_SECONDS: Final = 2.2
+
+
 class ChangeKind(StrEnum):
     """What a newer view of the endpoints changed."""
 
@@ -64,6 +70,9 @@
         Revision of the last view; -1 before the first one.
     endpoints : dict of int to Endpoint
         Endpoints of the last view, by identity.
+    missing_since : dict of int to float
+        Endpoints that the last view lacks and that are kept for the time
+        being, with the seconds at which they were first missing.
     departed : dict of int to (Endpoint, float)
         Removed endpoints with the monotonic seconds of their removal.
     by_cookie : dict of (str, int) to Endpoint
@@ -75,6 +84,7 @@
     departed_lifetime_seconds: float
     revision: int = -1
     endpoints: dict[int, Endpoint] = field(default_factory=dict)
+    missing_since: dict[int, float] = field(default_factory=dict)
     departed: dict[int, tuple[Endpoint, float]] = field(default_factory=dict)
     by_cookie: dict[tuple[str, int], Endpoint] = field(default_factory=dict)
     open_to_new_flows: dict[str, tuple[Endpoint, ...]] = field(
@@ -86,9 +96,14 @@
     directory: Directory,
     view: EndpointView,
     now: float,
+    keeps_missing: bool = False,
 ) -> tuple[EndpointChange, ...]:
     """Replace the directory's endpoints by those of a newer view.
 
+    Entries expire while the store is away, and live endpoints write them anew
+    within two seconds of its return. After an outage, endpoints that are
+    missing and were not draining are therefore kept for that time.
+
     A view of a lower revision than the last one changes nothing: it comes
     from a replica that lags or from a response that was overtaken.
 
@@ -100,6 +115,8 @@
         The endpoints of the store.
     now : float
         Monotonic seconds.
+    keeps_missing : bool
+        Whether the store was away a short time ago.
 
     Returns
     -------
@@ -110,6 +127,7 @@
         return ()
     former = directory.endpoints
     newer = {endpoint.instance: endpoint for endpoint in view.endpoints}
+    newer.update(_keep_missing(directory, newer, now, keeps_missing))
     changes = [
         EndpointChange(ChangeKind.REMOVED, endpoint)
         for instance, endpoint in former.items()
@@ -127,6 +145,31 @@
     return tuple(changes)
 
 
+def remove_missing(
+    directory: Directory,
+    now: float,
+) -> tuple[EndpointChange, ...]:
+    """Remove endpoints that have been missing for too long.
+
+    Returns
+    -------
+    tuple of EndpointChange
+        The removals.
+    """
+    if not directory.missing_since:
+        return ()
+    present = tuple(
+        endpoint
+        for instance, endpoint in directory.endpoints.items()
+        if instance not in directory.missing_since
+        or now - directory.missing_since[instance] <= MISSING_KEPT_SECONDS
+    )
+    if len(present) == len(directory.endpoints):
+        return ()
+    view = EndpointView(directory.revision, present)
+    return apply_view(directory, view, now)
+
+
 def find_endpoint(
     directory: Directory,
     service: str,
@@ -144,6 +187,29 @@
     return directory.open_to_new_flows.get(service, ())
 
 
+def _keep_missing(
+    directory: Directory,
+    newer: dict[int, Endpoint],
+    now: float,
+    keeps_missing: bool,
+) -> dict[int, Endpoint]:
+    kept: dict[int, Endpoint] = {}
+    since: dict[int, float] = {}
+    for instance, endpoint in directory.endpoints.items():
+        if instance in newer or endpoint.is_draining:
+            continue
+        missing_since = directory.missing_since.get(instance)
+        if missing_since is None and keeps_missing:
+            missing_since = now
+        if missing_since is None:
+            continue
+        if now - missing_since <= MISSING_KEPT_SECONDS:
+            kept[instance] = endpoint
+            since[instance] = missing_since
+    directory.missing_since = since
+    return kept
+
+
 def _compare(former: Endpoint | None, newer: Endpoint) -> ChangeKind | None:
     if former is None:
         return ChangeKind.ADDED
--- a/balsamshed/platform/program.py
+++ b/balsamshed/platform/program.py
@@ -1,5 +1,6 @@
 """Entry point of an edge balancer on the platform."""
 
+import gc
 import os
 import sys
 from typing import Final
@@ -21,6 +22,8 @@
     int
         Exit status.
     """
+    # Nothing that is loaded at the start becomes garbage.
+    gc.disable()
     path = os.environ.get(SETTINGS_VARIABLE, '')
     try:
         # ``pathlib`` would add a tenth to the time of the start.
@@ -38,5 +41,7 @@
         from balsamshed.front_ends.edge_process import run_edge
         from balsamshed.platform.wire import create_wire_format
 
+        gc.freeze()
+        gc.enable()
         run_edge(settings, create_wire_format(), loop)
     return 0
--- a/balsamshed/store/reading.py
+++ b/balsamshed/store/reading.py
@@ -25,6 +25,9 @@
 #: First wait after a failed read, doubled for each further one.
 FIRST_RETRY_SECONDS: Final = 0.1
 LONGEST_RETRY_SECONDS: Final = 0.8
+#: An outage counts as recent for this long after the last failed read: reads
+#: are repeated within a second.
+OUTAGE_MEMORY_SECONDS: Final = 2.0
 #: Draws from 0 to below this number spread the waits.
 _JITTER_STEPS: Final = 1024
 
@@ -56,6 +59,8 @@
         No read starts before, after a failed one.
     failures : int
         Reads that failed since one succeeded.
+    failed_at : float or None
+        Time of the last failure.
     """
 
     revision: int = -1
@@ -64,6 +69,7 @@
     reading_revision: int = -1
     retry_at: float = 0
     failures: int = 0
+    failed_at: float | None = None
 
 
 def is_read_due(state: ReadState, rank: int, now: float) -> bool:
@@ -149,6 +155,7 @@
         Whether this is the first failure since a read succeeded.
     """
     state.started_at = None
+    state.failed_at = now
     wait = min(
         FIRST_RETRY_SECONDS * (1 << min(state.failures, 8)),
         LONGEST_RETRY_SECONDS,
@@ -186,6 +193,13 @@
         state.confirmed_at = confirmed_at
 
 
+def was_away(state: ReadState, now: float) -> bool:
+    """Tell whether the store was out of reach a short time ago."""
+    if state.failed_at is None:
+        return False
+    return now - state.failed_at <= OUTAGE_MEMORY_SECONDS
+
+
 def get_age(state: ReadState, now: float) -> float:
     """Return the age of what is believed, in seconds; infinite at first."""
     if state.confirmed_at is None:
