--- a/balsamshed/placement/in_flight.py
+++ b/balsamshed/placement/in_flight.py
@@ -11,7 +11,7 @@
 
 #: A request to another data centre costs a round trip of about 2 ms and
 #: traffic between data centres, about as much as one request that waits.
-REMOTE_PENALTY_REQUESTS: Final = 1.0
+REMOTE_PENALTY_REQUESTS: Final = 2.0
 #: An endpoint that warms up takes longer for each request.
 WARM_UP_PENALTY_REQUESTS: Final = 1.0
 #: What another balancer suspects is avoided while others are idle, but one
