--- /dev/null
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -0,0 +1,84 @@
+"""Tests of the encodings between edge balancers."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from balsamshed.codecs.reports import (
+    MalformedReport,
+    decode_report,
+    encode_report,
+)
+from balsamshed.codecs.views import decode_view, encode_view
+from balsamshed.edge.tests.builders import (
+    build_endpoint,
+    build_table,
+    build_view,
+)
+from balsamshed.peers.report import EndpointReport, Report
+
+HOSTS = st.tuples(*[st.integers(0, 255)] * 4).map(
+    lambda octets: '.'.join(map(str, octets))
+)
+REPORTS = st.builds(
+    Report,
+    st.text(max_size=20),
+    st.integers(-1, 2**62),
+    st.integers(0, 10**6).map(lambda age: age / 1000),
+    st.lists(
+        st.builds(
+            EndpointReport,
+            st.integers(1, 2**32 - 1),
+            st.integers(0, 2**15 - 1),
+            st.booleans(),
+        ),
+        max_size=20,
+    ).map(tuple),
+    st.lists(HOSTS, max_size=3).map(tuple),
+)
+
+
+@given(REPORTS)
+def test_report_comes_back_as_it_was(report):
+    """Guards against fields that change on the way."""
+    decoded = decode_report(encode_report(report))
+    assert decoded.endpoints == report.endpoints
+    assert decoded.peers == report.peers
+    assert decoded.revision == report.revision
+    assert decoded.data_centre == report.data_centre
+    assert abs(decoded.age_seconds - report.age_seconds) <= 0.001
+
+
+def test_missing_age_comes_back_as_missing():
+    """Guards against a view that looks confirmed and never was."""
+    report = Report('a', -1, float('inf'), (), ())
+    assert decode_report(encode_report(report)) == report
+
+
+@given(st.binary(max_size=100))
+def test_any_datagram_is_decoded_or_rejected(datagram):
+    """Guards against a datagram that stops the process."""
+    assert isinstance(decode_report(datagram), Report | MalformedReport)
+
+
+def test_report_of_another_format_is_rejected():
+    """Guards against a newer format read as this one."""
+    datagram = b'\xff' + encode_report(Report('a', 1, 0, (), ()))[1:]
+    assert decode_report(datagram) is MalformedReport.WRONG_FORMAT
+
+
+def test_view_comes_back_as_it_was():
+    """Guards against endpoints or routes that change on the way."""
+    table = build_table(4, p443='web', p80='files')
+    view = build_view(
+        9,
+        build_endpoint(1, warm_up_seconds=1.5, sequence=3),
+        build_endpoint(2, service='files', is_draining=True),
+    )
+    assert decode_view(encode_view(table, view)) == (table, view)
+
+
+@pytest.mark.parametrize('body', [b'', b'[]', b'{}', b'{"version":1}', b'\xff'])
+def test_document_of_another_form_is_rejected(body):
+    """Guards against a peer's answer that stops the process."""
+    assert decode_view(body) is None
--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -5,7 +5,12 @@
 
 from balsamshed.endpoints.directory import EndpointView
 from balsamshed.endpoints.endpoint import Endpoint
-from balsamshed.routes.table import Route, RouteTable, ServiceShare, create_table
+from balsamshed.routes.table import (
+    Route,
+    RouteTable,
+    ServiceShare,
+    create_table,
+)
 
 
 def encode_view(routes: RouteTable, view: EndpointView) -> bytes:
@@ -46,22 +51,25 @@
 def decode_view(body: bytes) -> tuple[RouteTable, EndpointView] | None:
     """Return routes and endpoints of a document, or None for another form."""
     try:
-        document: Any = json.loads(body)
-        routes = create_table(
-            document['version'],
-            [
-                Route(
-                    name,
-                    address,
-                    port,
-                    tuple(ServiceShare(*share) for share in shares),
-                    timeout,
-                )
-                for name, address, port, shares, timeout in document['routes']
-            ],
-            document['services'],
-        )
-        endpoints = tuple(Endpoint(*row) for row in document['endpoints'])
-        return routes, EndpointView(document['revision'], endpoints)
+        return _build_view(json.loads(body))
     except (ValueError, TypeError, KeyError):
         return None
+
+
+def _build_view(document: Any) -> tuple[RouteTable, EndpointView]:
+    routes = create_table(
+        document['version'],
+        [
+            Route(
+                name,
+                address,
+                port,
+                tuple(ServiceShare(*share) for share in shares),
+                timeout,
+            )
+            for name, address, port, shares, timeout in document['routes']
+        ],
+        document['services'],
+    )
+    endpoints = tuple(Endpoint(*row) for row in document['endpoints'])
+    return routes, EndpointView(document['revision'], endpoints)
--- a/balsamshed/commands/applying.py
+++ b/balsamshed/commands/applying.py
@@ -29,8 +29,8 @@
 from balsamshed.configuration.resources import Resource
 from balsamshed.documents import Document, DocumentRejection, read_document
 from balsamshed.findings import Finding, format_findings
-from balsamshed.store.responses import StoreFailure
 from balsamshed.schemas import find_faults
+from balsamshed.store.responses import StoreFailure
 
 #: At most this many objects in one file.
 MAX_OBJECTS: Final = 10_000
--- a/balsamshed/commands/drains.py
+++ b/balsamshed/commands/drains.py
@@ -15,8 +15,8 @@
 from balsamshed.commands.statuses import ExitStatus
 from balsamshed.commands.worlds import build_world, get_spec, read_records
 from balsamshed.configuration.parsing import parse_wall_time
-from balsamshed.store.responses import StoreFailure
 from balsamshed.schemas import is_wall_time
+from balsamshed.store.responses import StoreFailure
 
 #: Returns the changed specification, or what is wrong with the request.
 _Edit = Callable[[Mapping[str, Any]], dict[str, Any] | str]
--- a/balsamshed/edge/__init__.py
+++ b/balsamshed/edge/__init__.py
@@ -1,1 +1,1 @@
-"""Edge balancer: joins routes, endpoints, packet path and reads of the store."""
+"""Edge balancer: joins routes, endpoints, packets and reads of the store."""
--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -85,7 +85,9 @@
         edge.reads.revision,
         get_age(edge.reads, now),
         tuple(
-            EndpointReport(cookie, board.own.get(cookie, 0), cookie in suspected)
+            EndpointReport(
+                cookie, board.own.get(cookie, 0), cookie in suspected
+            )
             for cookie in cookies
         ),
         choose_passed_on(edge.roster, edge.draw),
--- a/balsamshed/endpoints/directory.py
+++ b/balsamshed/endpoints/directory.py
@@ -7,7 +7,6 @@
 
 from balsamshed.endpoints.endpoint import Endpoint
 
-
 #: How long an endpoint that vanished with the store's outage is kept: live ones
 #: are back within two seconds of its return.
 MISSING_KEPT_SECONDS: Final = 2.2
@@ -216,9 +215,7 @@
     if former.started_at_ms != newer.started_at_ms:
         return ChangeKind.RESTARTED
     if former.is_draining != newer.is_draining:
-        return (
-            ChangeKind.DRAINING if newer.is_draining else ChangeKind.READY
-        )
+        return ChangeKind.DRAINING if newer.is_draining else ChangeKind.READY
     identity = (former.service, former.host, former.port, former.data_centre)
     if identity != (newer.service, newer.host, newer.port, newer.data_centre):
         return ChangeKind.UPDATED
--- a/balsamshed/front_ends/edge_process.py
+++ b/balsamshed/front_ends/edge_process.py
@@ -55,12 +55,12 @@
     create_stream_writer,
     write_lines,
 )
+from balsamshed.peers.roster import add_addresses
 from balsamshed.routes.table import RouteTable
 from balsamshed.settings.balancer import SocketAddress
 from balsamshed.settings.edge import EdgeSettings
 from balsamshed.steering.decisions import steer_packet
 from balsamshed.steering.packets import FlowPacket, ForwardFlow, ResetFlow
-from balsamshed.peers.roster import add_addresses
 from balsamshed.store.reading import Source
 
 #: Path of a balancer's view of the store, for its peers.
--- a/balsamshed/front_ends/http_session.py
+++ b/balsamshed/front_ends/http_session.py
@@ -137,8 +137,10 @@
         connection.send(self._request)
 
     def _close(self) -> None:
-        connection, self._connection = self._connection, None
-        opening, self._opening = self._opening, None
+        connection = self._connection
+        opening = self._opening
+        self._connection = None
+        self._opening = None
         if opening is not None:
             opening.cancel()
         if connection is not None:
@@ -148,7 +150,8 @@
         if self._timer is not None:
             self._timer.cancel()
         self._timer = None
-        take_outcome, self._take_outcome = self._take_outcome, None
+        take_outcome = self._take_outcome
+        self._take_outcome = None
         if take_outcome is not None:
             take_outcome(outcome)
 
--- a/balsamshed/logs/stream.py
+++ b/balsamshed/logs/stream.py
@@ -95,6 +95,6 @@
 def _take_line(queue: LineQueue) -> bytes:
     if not queue.left_out:
         return queue.lines.popleft()
-    left_out, queue.left_out = queue.left_out, 0
-    line = format_line({'event': 'lines_left_out', 'count': left_out})
+    line = format_line({'event': 'lines_left_out', 'count': queue.left_out})
+    queue.left_out = 0
     return f'{line}\n'.encode()
--- a/balsamshed/node/state.py
+++ b/balsamshed/node/state.py
@@ -26,8 +26,8 @@
 from balsamshed.placement.board import LoadBoard
 from balsamshed.placement.messages import LoadReport
 from balsamshed.placement.policy import PlacementPolicy, create_aged_policy
-from balsamshed.store.session import StoreSession
 from balsamshed.status.fleet import FleetStatus
+from balsamshed.store.session import StoreSession
 
 
 @dataclass(slots=True)
--- a/balsamshed/node/store.py
+++ b/balsamshed/node/store.py
@@ -18,13 +18,13 @@
 )
 from balsamshed.node.records import learn_records
 from balsamshed.node.state import Node
+from balsamshed.status.fleet import note_conflict, note_seen, note_written
 from balsamshed.store.session import (
     note_expiry,
     note_failure,
     note_list,
     note_watch,
 )
-from balsamshed.status.fleet import note_conflict, note_seen, note_written
 
 _FRACTION_STEPS: Final = 1000
 _SESSION_CALLS: Final = frozenset(('list', 'watch'))
--- a/balsamshed/node/upkeep.py
+++ b/balsamshed/node/upkeep.py
@@ -54,8 +54,8 @@
 from balsamshed.node.summaries import build_summary
 from balsamshed.placement.board import record_unanswered
 from balsamshed.placement.messages import LoadReport, LoadReports
-from balsamshed.store.session import StoreCall, advance_session
 from balsamshed.status.fleet import build_body, plan_write
+from balsamshed.store.session import StoreCall, advance_session
 
 #: A leaving process stops after this time at the latest.
 LEAVE_SECONDS: Final = 60.0
--- a/balsamshed/placement/in_flight.py
+++ b/balsamshed/placement/in_flight.py
@@ -90,8 +90,8 @@
     candidates : sequence of Endpoint
         Endpoints of one service that take new flows.
     avoided : int or None
-        Cookie of an endpoint that did not answer this flow's last opening packet; taken
-        only if there is no other.
+        Cookie of an endpoint that did not answer this flow's last opening
+        packet; taken only if there is no other.
     draw : callable
         Random source, which decides between equal scores.
     now : float
@@ -130,7 +130,7 @@
     """Return the load that a new request would meet, in requests per slot."""
     cookie = endpoint.cookie
     load = board.own.get(cookie, 0) + board.peers.get(cookie, 0)
-    penalty = 0.0
+    penalty: float = 0
     if endpoint.data_centre != board.data_centre:
         penalty += REMOTE_PENALTY_REQUESTS
     if board.warm_until.get(cookie, 0) > now:
--- a/balsamshed/platform/calls.py
+++ b/balsamshed/platform/calls.py
@@ -44,4 +44,3 @@
     except ValueError:
         return None
     return content if isinstance(content, Mapping) else None
-
--- a/balsamshed/platform/entries.py
+++ b/balsamshed/platform/entries.py
@@ -9,7 +9,12 @@
 from typing import Any, Final
 
 from balsamshed.endpoints.endpoint import Endpoint
-from balsamshed.routes.table import Route, RouteTable, ServiceShare, create_table
+from balsamshed.routes.table import (
+    Route,
+    RouteTable,
+    ServiceShare,
+    create_table,
+)
 
 _INSTANCE: Final = re.compile('i-([0-9a-f]{1,16})')
 _OCTET: Final = '(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])'
@@ -124,15 +129,13 @@
     shares = _decode_shares(entry)
     if not _HOST.fullmatch(host) or port is None or not shares:
         return None
-    timeout = entry.get('timeoutMs')
+    timeout: Any = entry.get('timeoutMs')
     return Route(
         name=str(entry.get('name')),
         address=_parse_host(host),
         port=int(port[1]),
         shares=shares,
-        timeout_seconds=(
-            timeout / _MILLISECONDS if _is_amount(timeout) else 0
-        ),
+        timeout_seconds=(timeout / _MILLISECONDS if _is_amount(timeout) else 0),
     )
 
 
--- a/balsamshed/platform/packets.py
+++ b/balsamshed/platform/packets.py
@@ -26,6 +26,11 @@
 _FLOW_KEY_END: Final = 26
 
 _HEADER: Final = Struct('<I B 5s I I H H I I I H')
+#: The fields that matter of a caller's packet.
+_CALLER_HEADER: Final = Struct('<4x B 5x I I 2x H 8x I H')
+#: Both ends and what is acknowledged: ``dst``, ``sport``, ``dport``, ``src``
+#: and ``ack``.
+_ENDS: Final = Struct('<14x I H H I 4x I 2x')
 _COOKIE: Final = Struct('<I')
 #: Before the packet, an endpoint expects its own identity.
 _INSTANCE: Final = Struct('>Q')
@@ -68,8 +73,9 @@
     size = len(datagram)
     if size < HEADER_BYTES:
         return MalformedPacket(MalformedReason.TOO_SHORT)
-    fields = _HEADER.unpack_from(datagram)
-    _, flags, _, echo, destination, _, port, _, _, acknowledged, length = fields
+    flags, echo, destination, port, acknowledged, length = (
+        _CALLER_HEADER.unpack_from(datagram)
+    )
     if length > MAX_DATA_BYTES or size != HEADER_BYTES + length:
         return MalformedPacket(MalformedReason.WRONG_LENGTH)
     is_opening = bool(flags & _SYN)
@@ -113,9 +119,8 @@
     ``seq`` is what the caller acknowledged last, which it accepts on an open
     flow. The keyed sum stays zero, as the platform asks for resets.
     """
-    fields = _HEADER.unpack_from(raw)
-    _, _, _, _, destination, source_port, port, source, _, acknowledged, _ = (
-        fields
+    destination, source_port, port, source, acknowledged = _ENDS.unpack_from(
+        raw,
     )
     return _HEADER.pack(
         0,
@@ -134,7 +139,7 @@
 
 def get_caller_address(raw: bytes) -> str:
     """Return the IPv4 address of a packet's sender as text."""
-    source = _HEADER.unpack_from(raw)[7]
+    source = _ENDS.unpack_from(raw)[3]
     return '.'.join(str(octet) for octet in source.to_bytes(4, 'big'))
 
 
--- a/balsamshed/routes/table.py
+++ b/balsamshed/routes/table.py
@@ -72,7 +72,7 @@
     routes: Iterable[Route],
     services: Iterable[str],
 ) -> RouteTable:
-    """Create the table of one version; of two equal listeners the first wins."""
+    """Create the table of a version; of two equal listeners the first wins."""
     by_listener: dict[int, Route] = {}
     for route in routes:
         by_listener.setdefault(join_listener(route.address, route.port), route)
--- /dev/null
+++ b/balsamshed/steering/tests/test_decisions.py
@@ -0,0 +1,128 @@
+"""Tests of the decisions about packets."""
+
+from balsamshed.edge.tests.builders import (
+    build_endpoint,
+    build_packet,
+    build_table,
+    build_view,
+    draw_lowest,
+)
+from balsamshed.endpoints.directory import apply_view
+from balsamshed.peers.roster import Roster
+from balsamshed.placement.in_flight import is_suspected
+from balsamshed.steering.decisions import (
+    create_steering,
+    is_ready,
+    replace_routes,
+    steer_packet,
+)
+from balsamshed.steering.packets import (
+    DropPacket,
+    ForwardFlow,
+    PacketKind,
+    ResetFlow,
+)
+
+FIRST = build_endpoint(1)
+SECOND = build_endpoint(2)
+
+
+def build_steering(*endpoints, table=None):
+    steering = create_steering('a', 60, Roster('10.9.0.1'), draw_lowest)
+    apply_view(steering.directory, build_view(1, *endpoints), 0)
+    replace_routes(steering, table or build_table(1))
+    return steering
+
+
+def test_any_balancer_takes_a_packet_to_the_endpoint_in_its_cookie():
+    """Guards against flows that break when the hash moves them."""
+    opener, other = build_steering(FIRST, SECOND), build_steering(FIRST, SECOND)
+    effect = steer_packet(opener, build_packet(), 0)
+    assert isinstance(effect, ForwardFlow)
+    data = build_packet(PacketKind.DATA, cookie=effect.cookie)
+    assert steer_packet(other, data, 1) == effect
+
+
+def test_balancer_that_knows_nothing_resets_no_flow():
+    """Guards against resets by a balancer that has just started."""
+    steering = create_steering('a', 60, Roster('10.9.0.1'), draw_lowest)
+    assert not is_ready(steering)
+    for kind in PacketKind:
+        effect = steer_packet(steering, build_packet(kind, cookie=9), 0)
+        assert effect == DropPacket('not_ready')
+
+
+def test_route_that_another_balancer_knows_already_is_not_reset():
+    """Guards against resets of flows under a version not read yet."""
+    steering = build_steering(FIRST)
+    data = build_packet(PacketKind.DATA, listener=1, cookie=FIRST.cookie)
+    assert steer_packet(steering, data, 0) == DropPacket('unknown_route')
+    opening = build_packet(listener=1)
+    assert steer_packet(steering, opening, 0) == ResetFlow('no_route')
+
+
+def test_flow_of_a_removed_route_is_reset_until_the_route_is_back():
+    """Guards against traffic on a route that the configuration dropped."""
+    steering = build_steering(FIRST)
+    data = build_packet(PacketKind.DATA, cookie=FIRST.cookie)
+    replace_routes(steering, build_table(2, p80='web'))
+    assert steer_packet(steering, data, 0) == ResetFlow('route_removed')
+    replace_routes(steering, build_table(3))
+    assert isinstance(steer_packet(steering, data, 0), ForwardFlow)
+
+
+def test_older_routes_are_not_put_in_force():
+    """Guards against a configuration that reverts."""
+    steering = build_steering(FIRST, table=build_table(5, p80='web'))
+    assert not replace_routes(steering, build_table(4))
+    assert steer_packet(steering, build_packet(), 0) == ResetFlow('no_route')
+
+
+def test_repeated_opening_goes_to_another_endpoint():
+    """Guards against a caller that waits for an endpoint that is down."""
+    steering = build_steering(FIRST, SECOND)
+    first = steer_packet(steering, build_packet(), 0)
+    second = steer_packet(steering, build_packet(attempt=1), 0.2)
+    assert {first.endpoint, second.endpoint} == {FIRST, SECOND}
+    assert is_suspected(steering.board, first.endpoint.cookie, 0.2)
+
+
+def test_opening_duplicated_by_the_network_stays_at_its_endpoint():
+    """Guards against half a flow at each of two endpoints."""
+    steering = build_steering(FIRST, SECOND)
+    first = steer_packet(steering, build_packet(), 0)
+    assert steer_packet(steering, build_packet(), 0.05) == first
+
+
+def test_answered_opening_clears_the_suspicion():
+    """Guards against an endpoint avoided after one lost packet."""
+    steering = build_steering(FIRST)
+    steer_packet(steering, build_packet(), 0)
+    again = steer_packet(steering, build_packet(attempt=1), 0.2)
+    assert again.endpoint == FIRST
+    ack = build_packet(PacketKind.ACKNOWLEDGEMENT, cookie=FIRST.cookie)
+    steer_packet(steering, ack, 0.21)
+    assert not is_suspected(steering.board, FIRST.cookie, 0.21)
+
+
+def test_opening_without_an_endpoint_is_refused_at_once():
+    """Guards against callers that wait although nothing can serve them."""
+    steering = build_steering(build_endpoint(1, is_draining=True))
+    assert steer_packet(steering, build_packet(), 0) == ResetFlow('no_endpoint')
+
+
+def test_unknown_cookie_is_dropped_and_not_reset():
+    """Guards against resets of live flows whose entry this balancer lacks."""
+    steering = build_steering(FIRST)
+    data = build_packet(PacketKind.DATA, cookie=12345)
+    assert steer_packet(steering, data, 0) == DropPacket('unknown_cookie')
+
+
+def test_cookie_of_another_service_is_not_followed():
+    """Guards against packets of one service that reach another one."""
+    other = build_endpoint(3, service='files')
+    steering = build_steering(
+        FIRST, other, table=build_table(1, p443='web', p80='files')
+    )
+    data = build_packet(PacketKind.DATA, cookie=other.cookie)
+    assert steer_packet(steering, data, 0) == DropPacket('unknown_cookie')
--- /dev/null
+++ b/balsamshed/steering/tests/test_requests.py
@@ -0,0 +1,99 @@
+"""Tests of the requests in flight, seen from one side."""
+
+import pytest
+
+from balsamshed.edge.tests.builders import build_packet
+from balsamshed.steering.packets import PacketKind
+from balsamshed.steering.requests import (
+    REQUEST_LIFETIME_SECONDS,
+    RequestTable,
+    expire_requests,
+    observe_packet,
+    start_opening,
+)
+
+COOKIE = 7
+KEY = build_packet().flow_key
+
+
+def open_flow(table, now=0.0):
+    start_opening(table, KEY, COOKIE, now)
+    ack = build_packet(PacketKind.ACKNOWLEDGEMENT, acknowledged=1)
+    return observe_packet(table, ack, COOKIE, now + 0.002)
+
+
+def test_opening_counts_until_the_answer():
+    """Guards against an endpoint that looks idle while it opens flows."""
+    table = RequestTable()
+    observation = open_flow(table)
+    assert observation.opened_after_seconds == pytest.approx(0.002)
+    assert table.counts == {COOKIE: 1}
+    data = build_packet(PacketKind.DATA, acknowledged=1)
+    observe_packet(table, data, COOKIE, 0.003)
+    assert table.counts == {COOKIE: 1}
+    ack = build_packet(PacketKind.ACKNOWLEDGEMENT, acknowledged=1201)
+    observation = observe_packet(table, ack, COOKIE, 0.05)
+    assert observation.answered_after_seconds == pytest.approx(0.047)
+    assert table.counts == {}
+
+
+def test_acknowledgement_without_progress_is_no_answer():
+    """Guards against counting a repeated acknowledgement as an answer."""
+    table = RequestTable()
+    open_flow(table)
+    observe_packet(
+        table, build_packet(PacketKind.DATA, acknowledged=1), COOKIE, 0.003
+    )
+    again = build_packet(PacketKind.ACKNOWLEDGEMENT, acknowledged=1)
+    assert observe_packet(table, again, COOKIE, 0.01) is None
+    assert table.counts == {COOKIE: 1}
+
+
+def test_answer_is_seen_when_positions_wrap_around():
+    """Guards against a request that never ends once positions pass 2**32."""
+    table = RequestTable()
+    high = (1 << 32) - 10
+    first = build_packet(PacketKind.DATA, acknowledged=high)
+    observe_packet(table, first, COOKIE, 0)
+    ack = build_packet(PacketKind.ACKNOWLEDGEMENT, acknowledged=90)
+    assert observe_packet(table, ack, COOKIE, 0.1) is not None
+    assert table.counts == {}
+
+
+def test_next_request_replaces_one_whose_answer_was_not_acknowledged():
+    """Guards against two requests counted for a flow that has one."""
+    table = RequestTable()
+    data = build_packet(PacketKind.DATA, acknowledged=1)
+    observe_packet(table, data, COOKIE, 0)
+    following = build_packet(PacketKind.DATA, acknowledged=600)
+    observe_packet(table, following, COOKIE, 1)
+    assert table.counts == {COOKIE: 1}
+
+
+def test_end_of_flow_ends_its_request():
+    """Guards against load that stays after callers have left."""
+    table = RequestTable()
+    open_flow(table)
+    observe_packet(table, build_packet(PacketKind.CLOSING), COOKIE, 1)
+    assert table.counts == {}
+    assert table.pending == {}
+
+
+def test_flow_from_another_balancer_counts_from_its_next_request():
+    """Guards against flows that stay invisible after the hash moved them."""
+    table = RequestTable()
+    ack = build_packet(PacketKind.ACKNOWLEDGEMENT, acknowledged=5)
+    assert observe_packet(table, ack, COOKIE, 0) is None
+    assert table.counts == {}
+    observe_packet(table, build_packet(PacketKind.DATA), COOKIE, 0.1)
+    assert table.counts == {COOKIE: 1}
+
+
+def test_old_requests_are_forgotten():
+    """Guards against load that grows by flows that moved elsewhere."""
+    table = RequestTable()
+    start_opening(table, b'old', COOKIE, 0)
+    start_opening(table, b'new', COOKIE, 1)
+    now = REQUEST_LIFETIME_SECONDS + 0.5
+    assert expire_requests(table, now) == (b'old',)
+    assert table.counts == {COOKIE: 1}
--- /dev/null
+++ b/balsamshed/store/tests/test_reading.py
@@ -0,0 +1,128 @@
+"""Tests of the decisions when to read the store."""
+
+from balsamshed.edge.tests.builders import draw_lowest
+from balsamshed.store.reading import (
+    LATEST_READ_SECONDS,
+    LONGEST_RETRY_SECONDS,
+    OUTAGE_MEMORY_SECONDS,
+    READ_INTERVAL_SECONDS,
+    READ_TIMEOUT_SECONDS,
+    ReadState,
+    adopt_revision,
+    confirm_revision,
+    fail_read,
+    finish_read,
+    get_age,
+    is_read_due,
+    needs_routes,
+    start_read,
+    was_away,
+)
+
+#: Drains have to be in force after this time.
+DRAIN_SECONDS = 3
+
+
+def read(state, revision, now):
+    start_read(state, now)
+    is_changed = needs_routes(state, revision)
+    finish_read(state)
+    return is_changed
+
+
+def test_first_reader_reads_before_the_others():
+    """Guards against a whole group that reads the store."""
+    state = ReadState()
+    assert is_read_due(state, 5, now=0)
+    read(state, 1, now=0)
+    assert not is_read_due(state, 0, READ_INTERVAL_SECONDS - 0.01)
+    assert is_read_due(state, 0, READ_INTERVAL_SECONDS)
+    assert not is_read_due(state, 1, READ_INTERVAL_SECONDS)
+    assert is_read_due(state, 300, LATEST_READ_SECONDS)
+
+
+def test_age_stays_below_the_bound_of_a_drain():
+    """Guards against a drain that is heard of too late when readers fail."""
+    worst = LATEST_READ_SECONDS + READ_TIMEOUT_SECONDS
+    assert worst < DRAIN_SECONDS
+
+
+def test_revision_confirmed_by_a_peer_saves_a_read():
+    """Guards against reads of what a peer has just read."""
+    state = ReadState()
+    read(state, 1, now=0)
+    confirm_revision(state, 1, confirmed_at=5)
+    assert not is_read_due(state, 0, now=5.5)
+    assert get_age(state, 5.5) == 0.5
+
+
+def test_other_revision_confirms_nothing():
+    """Guards against an old view that looks fresh."""
+    state = ReadState()
+    read(state, 1, now=0)
+    confirm_revision(state, 2, confirmed_at=5)
+    confirm_revision(state, 0, confirmed_at=5)
+    assert get_age(state, 5.5) == 5.5
+
+
+def test_age_is_that_of_the_start_of_the_read():
+    """Guards against a slow answer that looks fresh."""
+    state = ReadState()
+    start_read(state, 1)
+    needs_routes(state, 1)
+    finish_read(state)
+    assert get_age(state, 2) == 1
+
+
+def test_routes_are_read_only_after_a_change():
+    """Guards against calls for routes that cannot have changed."""
+    state = ReadState()
+    assert read(state, 4, now=0)
+    assert not read(state, 4, now=1)
+    assert read(state, 5, now=2)
+
+
+def test_failed_reads_are_repeated_with_growing_waits():
+    """Guards against a store that is flooded while it is down."""
+    state = ReadState()
+    read(state, 1, now=0)
+    now, waits = 1.0, []
+    for attempt in range(8):
+        start_read(state, now)
+        assert fail_read(state, now, draw_lowest) == (attempt == 0)
+        waits.append(state.retry_at - now)
+        now = state.retry_at
+    assert waits == sorted(waits)
+    assert waits[-1] <= LONGEST_RETRY_SECONDS
+    start_read(state, now)
+    assert finish_read(state)
+
+
+def test_outage_is_remembered_for_a_while():
+    """Guards against lapsed entries that count as gone."""
+    state = ReadState()
+    assert not was_away(state, 0)
+    fail_read(state, 1, draw_lowest)
+    assert was_away(state, 1 + OUTAGE_MEMORY_SECONDS)
+    assert not was_away(state, 1.1 + OUTAGE_MEMORY_SECONDS)
+
+
+def test_view_of_a_peer_is_not_fresher_than_its_confirmation():
+    """Guards against an adopted view that counts as confirmed now."""
+    state = ReadState()
+    read(state, 1, now=0)
+    adopt_revision(state, 3, state.confirmed_at)
+    assert state.revision == 3
+    assert get_age(state, 4) == 4
+    adopt_revision(state, 2, 9)
+    assert state.revision == 3
+
+
+def test_read_that_a_peer_overtook_does_not_go_back():
+    """Guards against a revision that falls after a slow read."""
+    state = ReadState()
+    start_read(state, 0)
+    needs_routes(state, 2)
+    adopt_revision(state, 5, None)
+    finish_read(state)
+    assert state.revision == 5
