--- /dev/null
+++ b/balsamshed/edge/tests/test_lifecycle.py
@@ -0,0 +1,104 @@
+"""Tests of ticks and of the stop of an edge balancer."""
+
+from balsamshed.edge.effects import ReadSource, SendReport, StopProcess
+from balsamshed.edge.lifecycle import (
+    LEAVE_SECONDS,
+    QUIET_SECONDS,
+    STOP_RESERVE_SECONDS,
+    create_report,
+    handle_stop,
+    handle_tick,
+)
+from balsamshed.edge.state import accepts_traffic
+from balsamshed.edge.tests.builders import (
+    build_edge,
+    build_endpoint,
+    build_packet,
+    build_table,
+    build_view,
+)
+from balsamshed.edge.tests.test_views import read_store
+from balsamshed.peers.roster import add_addresses
+from balsamshed.placement.in_flight import note_unanswered
+from balsamshed.steering.decisions import steer_packet
+from balsamshed.store.reading import Source
+
+ENDPOINT = build_endpoint(1)
+
+
+def build_serving_edge():
+    edge = build_edge()
+    read_store(edge, build_view(1, ENDPOINT), build_table(1), 0)
+    return edge
+
+
+def test_first_tick_reads_the_store():
+    """Guards against a start that waits for a timer."""
+    assert ReadSource(Source.ENDPOINTS) in handle_tick(build_edge(), 0)
+
+
+def test_read_in_progress_is_not_started_twice():
+    """Guards against two requests on one connection."""
+    edge = build_edge()
+    handle_tick(edge, 0)
+    assert ReadSource(Source.ENDPOINTS) not in handle_tick(edge, 0.1)
+
+
+def test_report_tells_load_and_suspicions():
+    """Guards against peers that place flows without knowing of others."""
+    edge = build_serving_edge()
+    add_addresses(edge.roster, ['10.9.0.2'], 0)
+    steer_packet(edge.steering, build_packet(), 0.1)
+    note_unanswered(edge.steering.board, ENDPOINT.cookie, 0.1)
+    (effect,) = [
+        effect
+        for effect in handle_tick(edge, 0.2)
+        if isinstance(effect, SendReport)
+    ]
+    assert effect.hosts == ('10.9.0.2',)
+    (told,) = effect.report.endpoints
+    assert (told.cookie, told.in_flight) == (ENDPOINT.cookie, 1)
+    assert told.is_suspected
+    assert effect.report.revision == 1
+
+
+def test_load_without_requests_is_not_told():
+    """Guards against reports that grow with the number of endpoints."""
+    assert create_report(build_serving_edge(), 0.1).endpoints == ()
+
+
+def test_pause_makes_reports_distrusted():
+    """Guards against old reports that count as new after a pause."""
+    edge = build_serving_edge()
+    handle_tick(edge, 0.1)
+    assert edge.distrusted_until == 0
+    handle_tick(edge, 5)
+    assert edge.distrusted_until > 5
+
+
+def test_leaving_balancer_forwards_until_the_routers_know():
+    """Guards against packets lost by a planned stop."""
+    edge = build_serving_edge()
+    handle_stop(edge, 10)
+    assert not accepts_traffic(edge)
+    edge.last_packet_at = 10 + LEAVE_SECONDS - QUIET_SECONDS / 2
+    assert StopProcess() not in handle_tick(edge, 10 + LEAVE_SECONDS)
+    effects = handle_tick(edge, 10 + LEAVE_SECONDS + QUIET_SECONDS)
+    assert StopProcess() in effects
+
+
+def test_leaving_balancer_stops_before_it_is_killed():
+    """Guards against a kill that loses the last log lines."""
+    edge = build_serving_edge()
+    handle_stop(edge, 0)
+    last = edge.grace_seconds - STOP_RESERVE_SECONDS
+    edge.last_packet_at = last
+    assert StopProcess() in handle_tick(edge, last)
+
+
+def test_second_request_to_stop_does_not_extend_the_first():
+    """Guards against a stop that never ends."""
+    edge = build_serving_edge()
+    assert handle_stop(edge, 0)
+    assert handle_stop(edge, 4) == []
+    assert edge.leaving_since == 0
--- /dev/null
+++ b/balsamshed/edge/tests/test_views.py
@@ -0,0 +1,114 @@
+"""Tests of how an edge balancer takes over views of the store."""
+
+from balsamshed.edge.effects import FetchView, ReadSource, WriteEvent
+from balsamshed.edge.state import accepts_traffic
+from balsamshed.edge.tests.builders import (
+    build_edge,
+    build_endpoint,
+    build_table,
+    build_view,
+)
+from balsamshed.edge.views import (
+    get_view,
+    handle_endpoints,
+    handle_peer_view,
+    handle_read_failed,
+    handle_report,
+    handle_routes,
+)
+from balsamshed.endpoints.directory import list_open_endpoints
+from balsamshed.peers.report import Report
+from balsamshed.store.reading import Source, get_age, start_read
+
+
+def read_store(edge, view, table, now):
+    start_read(edge.reads, now)
+    effects = handle_endpoints(edge, view, now)
+    if ReadSource(Source.ROUTES) in effects:
+        handle_routes(edge, table, now)
+
+
+def list_events(effects):
+    return [effect.name for effect in effects if isinstance(effect, WriteEvent)]
+
+
+def list_fetches(effects):
+    return [effect.host for effect in effects if isinstance(effect, FetchView)]
+
+
+def test_balancer_is_ready_once_it_knows_routes_and_endpoints():
+    """Guards against callers sent to a balancer that knows nothing."""
+    edge = build_edge()
+    start_read(edge.reads, 0)
+    handle_endpoints(edge, build_view(1, build_endpoint(1)), 0)
+    assert not accepts_traffic(edge)
+    assert 'ready' in list_events(handle_routes(edge, build_table(1), 0))
+    assert accepts_traffic(edge)
+
+
+def test_store_without_endpoints_makes_nobody_ready():
+    """Guards against callers refused by a balancer that started too early."""
+    edge = build_edge()
+    read_store(edge, build_view(1), build_table(1), 0)
+    assert not accepts_traffic(edge)
+
+
+def test_newer_view_is_fetched_from_a_peer_once():
+    """Guards against a whole group that reads each change from the store."""
+    edge = build_edge()
+    read_store(edge, build_view(1, build_endpoint(1)), build_table(1), 0)
+    report = Report('a', 2, 0.1, (), ())
+    assert list_fetches(handle_report(edge, '10.9.0.2', report, 1)) == [
+        '10.9.0.2'
+    ]
+    assert list_fetches(handle_report(edge, '10.9.0.3', report, 1)) == []
+    draining = build_endpoint(1, is_draining=True)
+    handle_peer_view(edge, build_table(2), build_view(2, draining), 1.1)
+    assert list_open_endpoints(edge.steering.directory, 'web') == ()
+    assert edge.steering.routes.version == 2
+    assert get_view(edge)[1].revision == 2
+
+
+def test_failed_fetch_is_repeated():
+    """Guards against a balancer that waits for a dead peer for good."""
+    edge = build_edge()
+    read_store(edge, build_view(1, build_endpoint(1)), build_table(1), 0)
+    report = Report('a', 2, 0.1, (), ())
+    handle_report(edge, '10.9.0.2', report, 1)
+    handle_read_failed(edge, Source.PEER_VIEW, 'timed_out', 1.5)
+    assert list_fetches(handle_report(edge, '10.9.0.2', report, 1.6))
+
+
+def test_peer_view_that_is_older_changes_nothing():
+    """Guards against a configuration or drain that reverts."""
+    edge = build_edge()
+    draining = build_endpoint(1, is_draining=True)
+    read_store(edge, build_view(5, draining), build_table(5), 0)
+    handle_peer_view(edge, build_table(4), build_view(4, build_endpoint(1)), 1)
+    assert list_open_endpoints(edge.steering.directory, 'web') == ()
+    assert edge.steering.routes.version == 5
+
+
+def test_report_that_waited_during_a_pause_confirms_nothing():
+    """Guards against an age that lacks the length of the pause."""
+    edge = build_edge()
+    read_store(edge, build_view(1, build_endpoint(1)), build_table(1), 0)
+    edge.distrusted_until = 10
+    handle_report(edge, '10.9.0.2', Report('a', 1, 0.1, (), ()), 9)
+    assert get_age(edge.reads, 9) == 9
+    handle_report(edge, '10.9.0.2', Report('a', 1, 0.1, (), ()), 10)
+    assert get_age(edge.reads, 10) < 0.2
+
+
+def test_lapsed_entries_do_not_refuse_callers():
+    """Guards against resets for two seconds after an outage of the store."""
+    edge = build_edge()
+    endpoint = build_endpoint(1)
+    read_store(edge, build_view(1, endpoint), build_table(1), 0)
+    events = list_events(
+        handle_read_failed(edge, Source.ENDPOINTS, 'status_503', 5)
+    )
+    assert events == ['store_lost']
+    assert handle_read_failed(edge, Source.ENDPOINTS, 'status_503', 5.5) == []
+    read_store(edge, build_view(9), build_table(1), 6)
+    assert list_open_endpoints(edge.steering.directory, 'web') == (endpoint,)
