--- a/balsamshed/front_ends/http_port.py
+++ b/balsamshed/front_ends/http_port.py
@@ -29,8 +29,8 @@
     content_type: str = 'text/plain; charset=utf-8'
 
 
-#: Returns the answer for a path.
-AnswerPath = Callable[[str], HttpAnswer]
+#: Returns the answer for a request target: a path, perhaps with a query.
+AnswerTarget = Callable[[str], HttpAnswer]
 
 
 class HttpServerConnection(Protocol):
@@ -39,10 +39,10 @@
     Parameters
     ----------
     answer : callable
-        Takes the path of a request.
+        Takes the target of a request.
     """
 
-    def __init__(self, answer: AnswerPath) -> None:
+    def __init__(self, answer: AnswerTarget) -> None:
         """Keep the function that answers."""
         self._answer = answer
         self._parser = HttpRequestParser(self)
@@ -62,15 +62,15 @@
             self._transport.abort()
 
     def on_url(self, url: bytes) -> None:
-        """Collect the path; called by the parser, perhaps in parts."""
+        """Collect the target; called by the parser, perhaps in parts."""
         self._url += url
 
     def on_message_complete(self) -> None:
         """Answer the request; called by the parser."""
-        path = self._url.split(b'?')[0].decode('ascii', 'replace')
+        target = self._url.decode('ascii', 'replace')
         self._url = b''
         keeps_alive = self._parser.should_keep_alive()
-        self._transport.write(_format_answer(self._answer(path), keeps_alive))
+        self._transport.write(_format_answer(self._answer(target), keeps_alive))
         if not keeps_alive:
             self._transport.close()
 
--- /dev/null
+++ b/balsamshed/platform/tests/test_calls.py
@@ -0,0 +1,57 @@
+"""Tests of the calls of the store."""
+
+import pytest
+
+from balsamshed.front_ends.source_reader import ListPage, SourceListing
+from balsamshed.platform.calls import decode_page, format_list_path
+from balsamshed.platform.tests.test_entries import (
+    build_configuration,
+    build_entry,
+)
+from balsamshed.platform.wire import decode_configuration, decode_endpoints
+from balsamshed.store.reading import Source
+
+
+def test_paths():
+    """Guards against a list that starts over at each page."""
+    assert format_list_path(Source.ENDPOINTS, '') == '/v1/objects/servers'
+    path = format_list_path(Source.ENDPOINTS, 'i-7f')
+    assert path == '/v1/objects/servers?after=i-7f'
+
+
+def test_page_names_where_the_next_one_starts():
+    """Guards against lists that end after their first page."""
+    body = b'{"items":[{"meta":{"name":"b"}}],"hasMore":true,"currentRev":9}'
+    page = decode_page(body)
+    assert (page.revision, page.next_after) == (9, 'b')
+    last = decode_page(body.replace(b'true', b'false'))
+    assert last == ListPage(page.items, 9, '')
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'[]', b'{"items":{}}', b'{"items":[]}', b'\xff\xfe']
+)
+def test_body_of_another_form_is_no_page(body):
+    """Guards against an empty list in place of an unreadable answer."""
+    assert decode_page(body) is None
+
+
+def test_unreadable_entries_do_not_hide_the_others():
+    """Guards against a service without endpoints because of one entry."""
+    items = (build_entry(), build_entry('i-3', state='odd'), 'nonsense')
+    view, rejected = decode_endpoints(SourceListing(items, 9))
+    assert [endpoint.instance for endpoint in view.endpoints] == [0x2FA0]
+    assert rejected == ('i-3:state', ':id')
+
+
+def test_configuration_is_found_by_its_name():
+    """Guards against routes from another object of the same kind."""
+    other = {**build_configuration(), 'meta': {'name': 'draft'}}
+    listing = SourceListing((other, build_configuration(version=9)), 9)
+    assert decode_configuration(listing).version == 9
+    assert (
+        decode_configuration(SourceListing((other,), 9)) == 'no_configuration'
+    )
+    broken = build_configuration(routes=None)
+    listing = SourceListing((broken,), 9)
+    assert decode_configuration(listing) == 'invalid_routes'
--- /dev/null
+++ b/balsamshed/platform/tests/test_entries.py
@@ -0,0 +1,167 @@
+"""Tests of entries of service discovery and of the configuration."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from balsamshed.endpoints.endpoint import Endpoint
+from balsamshed.platform.entries import (
+    EntryRejection,
+    decode_endpoint,
+    decode_routes,
+)
+from balsamshed.routes.table import RouteTable, ServiceShare, join_listener
+
+
+def build_entry(name='i-2fa0', **changes):
+    spec = {
+        'service': 'web',
+        'address': '10.1.2.3:8080',
+        'zone': 'north-a',
+        'version': 'v1',
+        'maxConcurrency': 2,
+        'state': 'ready',
+        'warmupLeftMs': 1500,
+        'sequence': 4,
+        'born': 1700000000000,
+        **changes,
+    }
+    return {'meta': {'name': name}, 'spec': spec, 'status': None}
+
+
+def build_configuration(**changes):
+    spec = {
+        'version': 7,
+        'routes': [
+            {
+                'name': 'r1',
+                'host': '198.51.0.1',
+                'pathPrefix': '/443/',
+                'service': 'web',
+                'timeoutMs': 800,
+            },
+        ],
+        'services': [{'name': 'web'}],
+        **changes,
+    }
+    return {'meta': {'name': 'main'}, 'spec': spec}
+
+
+def test_entry_becomes_an_endpoint():
+    """Guards against fields that are read as something else."""
+    assert decode_endpoint(build_entry()) == Endpoint(
+        instance=0x2FA0,
+        started_at_ms=1700000000000,
+        service='web',
+        host='10.1.2.3',
+        port=8080,
+        data_centre='north-a',
+        slots=2,
+        is_draining=False,
+        warm_up_seconds=1.5,
+        sequence=4,
+    )
+    assert decode_endpoint(build_entry(state='draining')).is_draining
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'service': 3},
+        {'service': ''},
+        {'address': '10.1.2.3'},
+        {'address': '10.1.2.300:80'},
+        {'address': '10.1.2.3:0'},
+        {'address': '10.1.2.3:99999'},
+        {'address': 'host:80'},
+        {'address': None},
+        {'zone': None},
+        {'maxConcurrency': 0},
+        {'maxConcurrency': '2'},
+        {'maxConcurrency': True},
+        {'state': 'gone'},
+        {'state': ['ready']},
+        {'warmupLeftMs': None},
+        {'warmupLeftMs': -1},
+        {'sequence': 1.5},
+        {'born': 'yesterday'},
+    ],
+)
+def test_field_of_another_kind_rejects_the_entry(changes):
+    """Guards against flows to what another writer left in the store."""
+    entry = decode_endpoint(build_entry(**changes))
+    (field,) = changes
+    assert entry == EntryRejection('i-2fa0', field)
+
+
+@pytest.mark.parametrize('name', ['', '2fa0', 'i-', 'i-xyz', 'i-' + 17 * 'a'])
+def test_name_of_another_form_rejects_the_entry(name):
+    """Guards against packets with an identity that no endpoint has."""
+    assert decode_endpoint(build_entry(name)) == EntryRejection(name, 'id')
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+@given(st.dictionaries(st.sampled_from(sorted(build_entry()['spec'])), JSON))
+def test_any_entry_is_decoded_or_rejected(changes):
+    """Guards against an entry that stops every balancer."""
+    entry = decode_endpoint(build_entry(**changes))
+    assert isinstance(entry, Endpoint | EntryRejection)
+
+
+@given(JSON)
+def test_any_object_is_decoded_or_rejected(item):
+    """Guards against an object that stops every balancer."""
+    assert isinstance(decode_endpoint(item), EntryRejection)
+    assert isinstance(decode_routes(item), EntryRejection)
+
+
+def test_configuration_becomes_routes():
+    """Guards against routes at another address or to another service."""
+    table = decode_routes(build_configuration())
+    assert table.version == 7
+    assert table.services == {'web'}
+    route = table.routes[join_listener(0xC6330001, 443)]
+    assert route.shares == (ServiceShare('web'),)
+    assert route.timeout_seconds == 0.8
+
+
+def test_weighted_services_of_a_route():
+    """Guards against weights that are lost or without effect."""
+    route = {
+        'name': 'r1',
+        'host': '198.51.0.1',
+        'pathPrefix': '/443/',
+        'backends': [
+            {'service': 'web', 'weight': 90},
+            {'service': 'next', 'weight': 10},
+            {'service': 'off', 'weight': 0},
+        ],
+    }
+    table = decode_routes(build_configuration(routes=[route]))
+    (decoded,) = table.routes.values()
+    assert decoded.shares == (ServiceShare('web', 90), ServiceShare('next', 10))
+
+
+@given(JSON)
+def test_unreadable_route_leaves_the_others_in_force(route):
+    """Guards against one bad route that takes all out of service."""
+    routes = [route, *build_configuration()['spec']['routes']]
+    table = decode_routes(build_configuration(routes=routes))
+    assert isinstance(table, RouteTable)
+    assert len(table.routes) == 1
+
+
+@pytest.mark.parametrize('field', ['version', 'routes', 'services'])
+def test_configuration_without_a_field_is_rejected(field):
+    """Guards against an empty configuration in place of the last good one."""
+    entry = decode_routes(build_configuration(**{field: None}))
+    assert entry == EntryRejection('main', field)
--- /dev/null
+++ b/balsamshed/settings/tests/test_edge.py
@@ -0,0 +1,69 @@
+"""Tests of the settings of an edge balancer."""
+
+import json
+
+import pytest
+
+from balsamshed.settings.balancer import SocketAddress
+from balsamshed.settings.edge import EdgeSettings, parse_edge_settings
+
+VALID = {
+    'name': 'edge-1',
+    'data_centre': 'a',
+    'packets': '127.0.0.1:7000',
+    'ready': '127.0.0.1:7001',
+    'store': '127.0.0.1:7002',
+    'peer_ports': [7010, 7020],
+    'seeds': ['127.0.0.1:7003'],
+    'flow_lifetime_seconds': 60,
+    'grace_seconds': 6,
+}
+
+
+def test_valid_settings():
+    """Guards against fields that are read as something else."""
+    settings = parse_edge_settings(json.dumps({**VALID, 'unknown': 1}))
+    assert isinstance(settings, EdgeSettings)
+    assert settings.packets == SocketAddress('127.0.0.1', 7000)
+    assert settings.seeds == (SocketAddress('127.0.0.1', 7003),)
+    assert settings.peer_ports == (7010, 7020)
+
+
+def test_all_faults_are_reported_together():
+    """Guards against a start for each fault of a file."""
+    content = {**VALID, 'ready': '127.0.0.1', 'seeds': None}
+    del content['name']
+    findings = parse_edge_settings(json.dumps(content))
+    assert [finding.place for finding in findings] == [
+        '$.name',
+        '$.ready',
+        '$.seeds',
+    ]
+
+
+@pytest.mark.parametrize(
+    ('key', 'entry'),
+    [
+        ('packets', '300.0.0.1:80'),
+        ('packets', '10.0.0.1:0'),
+        ('packets', '10.0.0.1:70000'),
+        ('store', 'store:80'),
+        ('peer_ports', [2, 1]),
+        ('peer_ports', [1]),
+        ('peer_ports', 'x'),
+        ('flow_lifetime_seconds', 0),
+        ('grace_seconds', True),
+        ('seeds', ['x']),
+    ],
+)
+def test_wrong_entry_is_found(key, entry):
+    """Guards against a process that starts and fails later."""
+    findings = parse_edge_settings(json.dumps({**VALID, key: entry}))
+    assert [finding.place for finding in findings] == [f'$.{key}']
+
+
+@pytest.mark.parametrize('text', ['', '[]', '{'])
+def test_text_that_is_no_object_is_found(text):
+    """Guards against a traceback in place of a finding."""
+    (finding,) = parse_edge_settings(text)
+    assert finding.place == '$'
--- /dev/null
+++ b/testbed/metadata_store.py
@@ -0,0 +1,89 @@
+"""Stand-in for the platform's metadata store, with faults.
+
+It lists objects of a kind in pages, with one revision for all changes, as the
+platform's page on the store describes. One loop serves it together with
+whatever else a test needs.
+"""
+
+import json
+from asyncio import AbstractEventLoop, Server
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from balsamshed.front_ends.http_port import HttpAnswer, HttpServerConnection
+
+_PREFIX = '/v1/objects/'
+
+
+@dataclass(slots=True)
+class MetadataStore:
+    """Objects by kind and name.
+
+    Attributes
+    ----------
+    revision : int
+        Rises with each change.
+    page_size : int
+        Objects of one page.
+    status : int
+        Status of every response; not 200 while the store is out of order.
+    kinds : dict
+        Objects by kind and name.
+    calls : int
+        Calls so far.
+    """
+
+    revision: int = 1
+    page_size: int = 50
+    status: int = 200
+    kinds: dict[str, dict[str, Any]] = field(default_factory=dict)
+    calls: int = 0
+
+
+def put_object(store: MetadataStore, kind: str, name: str, spec: Any) -> None:
+    """Create or replace an object."""
+    store.revision += 1
+    store.kinds.setdefault(kind, {})[name] = {
+        'meta': {'name': name, 'rev': store.revision},
+        'spec': spec,
+        'status': None,
+    }
+
+
+def delete_object(store: MetadataStore, kind: str, name: str) -> None:
+    """Remove an object."""
+    store.revision += 1
+    del store.kinds[kind][name]
+
+
+def answer_call(store: MetadataStore, target: str) -> HttpAnswer:
+    """Answer a list call."""
+    store.calls += 1
+    parts = urlsplit(target)
+    if store.status != 200 or not parts.path.startswith(_PREFIX):
+        return HttpAnswer(store.status if store.status != 200 else 404)
+    after = parse_qs(parts.query).get('after', [''])[0]
+    objects = store.kinds.get(parts.path.removeprefix(_PREFIX), {})
+    names = sorted(name for name in objects if name > after)
+    page = names[: store.page_size]
+    body = {
+        'items': [objects[name] for name in page],
+        'hasMore': len(page) < len(names),
+        'currentRev': store.revision,
+    }
+    return HttpAnswer(200, json.dumps(body).encode(), 'application/json')
+
+
+async def serve_store(
+    store: MetadataStore,
+    loop: AbstractEventLoop,
+    host: str,
+    port: int,
+) -> Server:
+    """Listen for calls."""
+    return await loop.create_server(
+        lambda: HttpServerConnection(lambda target: answer_call(store, target)),
+        host,
+        port,
+    )
