Explain decisions of edge balancers in logs, metrics and stories

Cause: after a failed request nobody could tell which endpoint a flow was sent to, on what grounds, and how old the view was. Change: one line for each opening, reset, dropped packet and request without an answer, with its inputs; at most 20 lines of one event a second, from a bounded queue that is written without blocking. Metrics by aioprometheus, loaded by the first fetch. The command story joins the logs of several balancers.

--- a/balsamshed/commands/catalogue.py
+++ b/balsamshed/commands/catalogue.py
@@ -12,6 +12,7 @@
     undrain,
 )
 from balsamshed.commands.local import (
+    check_edge_settings,
     check_settings,
     run,
     show_defaults,
@@ -25,11 +26,14 @@
     watch,
 )
 from balsamshed.commands.reports import status, wait
+from balsamshed.commands.stories import story
 
 #: Function of each command; returns an exit status or a `StoreCommand`.
 COMMANDS: Final[Mapping[str, Callable[..., Any]]] = MappingProxyType(
     {
         'check-settings': check_settings,
+        'check-edge-settings': check_edge_settings,
+        'story': story,
         'show-defaults': show_defaults,
         'apply': apply,
         'get': get,
--- a/balsamshed/commands/local.py
+++ b/balsamshed/commands/local.py
@@ -2,6 +2,7 @@
 
 import sys
 from dataclasses import asdict
+from pathlib import Path
 from typing import Literal
 
 from balsamshed.builds import read_build_info
@@ -9,6 +10,8 @@
 from balsamshed.commands.running import run_process, show_findings
 from balsamshed.commands.sessions import Output
 from balsamshed.commands.statuses import ExitStatus
+from balsamshed.findings import Finding
+from balsamshed.settings.edge import EdgeSettings, parse_edge_settings
 from balsamshed.settings.files import (
     SettingsRejection,
     list_defaults,
@@ -42,6 +45,36 @@
     return ExitStatus.DONE
 
 
+def check_edge_settings(file: str, *, output: Output = 'table') -> int:
+    """Check the settings file of an edge balancer.
+
+    Parameters
+    ----------
+    file
+        JSON file.
+    output
+        Form of the results.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    try:
+        text = Path(file).read_text('utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        finding = Finding('$', str(error), 'a readable text file')
+        return show_findings(SettingsRejection(file, (finding,)))
+    settings = parse_edge_settings(text)
+    if not isinstance(settings, EdgeSettings):
+        return show_findings(SettingsRejection(file, settings))
+    if output == 'json':
+        _write(format_json({'file': file, 'name': settings.name}))
+    else:
+        _write(f'{file}: settings of edge {settings.name}, no findings')
+    return ExitStatus.DONE
+
+
 def show_defaults(*, output: Output = 'table') -> int:
     """Show the settings that may be left out, with their values.
 
--- /dev/null
+++ b/balsamshed/commands/stories.py
@@ -0,0 +1,182 @@
+"""Command that tells the story of one flow or endpoint from log files."""
+
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Final
+
+from balsamshed.commands.rendering import format_json, format_table
+from balsamshed.commands.sessions import Output
+from balsamshed.commands.statuses import ExitStatus
+from balsamshed.logs.lines import parse_line
+
+#: Events that explain what a balancer believed, whatever flow is asked for.
+_CONTEXT_EVENTS: Final = frozenset(
+    (
+        'started',
+        'ready',
+        'leaving',
+        'stopped',
+        'paused',
+        'store_lost',
+        'store_regained',
+        'routes_changed',
+    ),
+)
+_ENDPOINT_KEYS: Final = ('endpoint', 'cookie')
+
+
+@dataclass(frozen=True, slots=True)
+class LoggedEvent:
+    """One line of a log.
+
+    Parameters
+    ----------
+    time : float
+        Seconds since the Unix epoch.
+    node : str
+        Balancer that wrote it.
+    name : str
+        Name of the event.
+    fields : dict of str to str
+        The other pairs of the line.
+    """
+
+    time: float
+    node: str
+    name: str
+    fields: dict[str, str]
+
+
+def story(
+    *files: str,
+    flow: str = '',
+    endpoint: str = '',
+    output: Output = 'table',
+) -> int:
+    """Show in order what balancers logged about a flow or an endpoint.
+
+    Parameters
+    ----------
+    files
+        Log files, one for each balancer.
+    flow
+        Beginning of the flow: the caller's address and port.
+    endpoint
+        Identity or cookie of the endpoint, in hex digits.
+    output
+        Form of the results.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    if bool(flow) == bool(endpoint):
+        sys.stderr.write('give one of --flow and --endpoint\n')
+        return ExitStatus.BAD_INPUT
+    events: list[LoggedEvent] = []
+    for file in files:
+        try:
+            events.extend(read_events(file))
+        except OSError as error:
+            sys.stderr.write(f'{file}: {error.strerror}\n')
+            return ExitStatus.BAD_INPUT
+    _show_story(tell_story(events, flow, endpoint), output)
+    return ExitStatus.DONE
+
+
+def _show_story(told: list[LoggedEvent], output: Output) -> None:
+    if output == 'json':
+        documents = [asdict(event) for event in told]
+        sys.stdout.write(f'{format_json(documents)}\n')
+        return
+    rows = [
+        (
+            f'{event.time:.3f}',
+            event.node,
+            event.name,
+            ' '.join(f'{key}={text}' for key, text in event.fields.items()),
+        )
+        for event in told
+    ]
+    for line in format_table(('TIME', 'BALANCER', 'EVENT', 'FIELDS'), rows):
+        sys.stdout.write(f'{line}\n')
+
+
+def read_events(file: str) -> Iterator[LoggedEvent]:
+    """Return the events of a log file; lines of another form are left out.
+
+    Parameters
+    ----------
+    file : str
+        Path. Whatever stands before ``time=`` in a line is ignored, and the
+        balancer is named by the file until the log names it.
+    """
+    node = Path(file).stem
+    for line in Path(file).read_text('utf-8', 'replace').splitlines():
+        start = line.find('time=')
+        if start < 0:
+            continue
+        event = _parse_event(line[start:], node)
+        if event is None:
+            continue
+        node = event.node
+        yield event
+
+
+def tell_story(
+    events: Iterable[LoggedEvent],
+    flow: str,
+    endpoint: str,
+) -> list[LoggedEvent]:
+    """Return the events about a flow or an endpoint, with their context.
+
+    Parameters
+    ----------
+    events : iterable of LoggedEvent
+        Events of all balancers.
+    flow : str
+        Beginning of the flow, or nothing.
+    endpoint : str
+        Identity or cookie of the endpoint, or nothing.
+    """
+    ordered = sorted(events, key=_get_time)
+    named = [event for event in ordered if _is_about(event, flow, endpoint)]
+    if flow:
+        # The endpoints that the flow met belong to its story.
+        met = {event.fields.get('cookie', '') for event in named} - {''}
+        named += [
+            event
+            for event in ordered
+            if event not in named
+            and event.name.startswith('endpoint_')
+            and event.fields.get('cookie') in met
+        ]
+    context = [
+        event
+        for event in ordered
+        if event.name in _CONTEXT_EVENTS and event not in named
+    ]
+    return sorted(named + context, key=_get_time)
+
+
+def _is_about(event: LoggedEvent, flow: str, endpoint: str) -> bool:
+    if flow:
+        return event.fields.get('flow', '').startswith(flow)
+    return any(event.fields.get(key) == endpoint for key in _ENDPOINT_KEYS)
+
+
+def _parse_event(line: str, node: str) -> LoggedEvent | None:
+    try:
+        fields = parse_line(line)
+        time = float(fields.pop('time'))
+        name = fields.pop('event')
+    except (ValueError, KeyError):
+        return None
+    return LoggedEvent(time, fields.get('node', node), name, fields)
+
+
+def _get_time(event: LoggedEvent) -> float:
+    return event.time
--- a/balsamshed/commands/tests/test_reference.py
+++ b/balsamshed/commands/tests/test_reference.py
@@ -87,7 +87,14 @@
 
 def test_commands_have_the_shared_options_that_the_page_names():
     """Each command that uses the store takes the same options."""
-    local = {'check-settings', 'show-defaults', 'version', 'run'}
+    local = {
+        'check-settings',
+        'check-edge-settings',
+        'story',
+        'show-defaults',
+        'version',
+        'run',
+    }
     for name, function in COMMANDS.items():
         taken = set(inspect.signature(function).parameters) & SHARED_OPTIONS
         if name not in local:
--- /dev/null
+++ b/balsamshed/edge/explanations.py
@@ -0,0 +1,63 @@
+"""Fields of log lines that explain decisions about packets."""
+
+from collections.abc import Mapping
+
+from balsamshed.edge.state import Edge
+from balsamshed.placement.in_flight import is_suspected, score_endpoint
+from balsamshed.steering.packets import (
+    DropPacket,
+    FlowPacket,
+    ForwardFlow,
+    ResetFlow,
+)
+from balsamshed.store.reading import get_age
+
+
+def explain_opening(
+    edge: Edge,
+    packet: FlowPacket,
+    flow: str,
+    effect: ForwardFlow,
+    now: float,
+) -> Mapping[str, object]:
+    """Return why an opening packet went to its endpoint."""
+    board = edge.steering.board
+    endpoint = effect.endpoint
+    return {
+        'flow': flow,
+        'attempt': packet.attempt,
+        'endpoint': f'{endpoint.instance:x}',
+        'cookie': f'{effect.cookie:08x}',
+        'endpoint_data_centre': endpoint.data_centre,
+        'own_requests': board.own.get(effect.cookie, 0),
+        'peer_requests': board.peers.get(effect.cookie, 0),
+        'score': round(score_endpoint(board, endpoint, now), 2),
+        'is_suspected': is_suspected(board, effect.cookie, now),
+        **_describe_view(edge, now),
+    }
+
+
+def explain_refusal(
+    edge: Edge,
+    packet: FlowPacket,
+    flow: str,
+    effect: ResetFlow | DropPacket,
+    now: float,
+) -> Mapping[str, object]:
+    """Return why a packet was answered with a reset, or dropped."""
+    return {
+        'flow': flow,
+        'reason': effect.reason,
+        'kind': packet.kind.name.lower(),
+        'attempt': packet.attempt,
+        'cookie': f'{packet.cookie:08x}',
+        **_describe_view(edge, now),
+    }
+
+
+def _describe_view(edge: Edge, now: float) -> Mapping[str, object]:
+    return {
+        'version': edge.steering.routes.version,
+        'revision': edge.reads.revision,
+        'age_seconds': round(get_age(edge.reads, now), 3),
+    }
--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -20,7 +20,7 @@
     rank_reader,
 )
 from balsamshed.placement.in_flight import is_suspected
-from balsamshed.steering.requests import expire_requests
+from balsamshed.steering.requests import PendingRequest, expire_requests
 from balsamshed.store.reading import (
     Source,
     get_age,
@@ -47,7 +47,8 @@
     """Do what is due."""
     effects = _note_pause(edge, now)
     steering = edge.steering
-    expire_requests(steering.requests, now)
+    for flow_key, request in expire_requests(steering.requests, now):
+        effects.append(_describe_unanswered(flow_key, request, now))
     changes = remove_missing(steering.directory, now)
     effects.extend(note_changes(steering, changes, now))
     for host in expire_peers(edge.roster, now):
@@ -94,6 +95,22 @@
     )
 
 
+def _describe_unanswered(
+    flow_key: bytes,
+    request: PendingRequest,
+    now: float,
+) -> WriteEvent:
+    return WriteEvent(
+        'no_answer_seen',
+        {
+            'flow': flow_key,
+            'cookie': f'{request.cookie:08x}',
+            'progress': request.progress,
+            'after_seconds': round(now - request.since, 3),
+        },
+    )
+
+
 def _note_pause(edge: Edge, now: float) -> list[EdgeEffect]:
     gap = now - edge.last_tick_at
     edge.last_tick_at = now
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -205,6 +205,7 @@
         f'endpoint_{change.kind}',
         {
             'endpoint': f'{endpoint.instance:x}',
+            'cookie': f'{endpoint.cookie:08x}',
             'service': endpoint.service,
             'address': f'{endpoint.host}:{endpoint.port}',
             'data_centre': endpoint.data_centre,
--- /dev/null
+++ b/balsamshed/front_ends/edge_context.py
@@ -0,0 +1,115 @@
+"""What the parts of an edge balancer's process share."""
+
+import time
+from asyncio import AbstractEventLoop
+from collections import Counter, deque
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from balsamshed.edge.effects import EdgeEffect, WriteEvent
+from balsamshed.edge.state import Edge
+from balsamshed.front_ends.http_port import HttpAnswer, HttpServerConnection
+from balsamshed.front_ends.http_session import HttpSession
+from balsamshed.front_ends.wire_format import WireFormat
+from balsamshed.logs.stream import LineQueue, add_line
+from balsamshed.settings.balancer import SocketAddress
+from balsamshed.settings.edge import EdgeSettings
+
+#: Measurements of one kind that wait for the next fetch of the metrics.
+WAITING_MEASUREMENTS: Final = 1000
+
+
+@dataclass(slots=True)
+class EdgeProcess:
+    """Connections of a process, with the state that they serve.
+
+    Attributes
+    ----------
+    edge : Edge
+        State.
+    settings : EdgeSettings
+        Settings.
+    wire : WireFormat
+        Encodings of the platform.
+    loop : AbstractEventLoop
+        Event loop.
+    store : HttpSession
+        Connection to the store.
+    counts : Counter of str
+        Events by name.
+    measurements : dict of str to deque of float
+        Durations in seconds by name, not yet fetched.
+    lines : LineQueue
+        Log lines.
+    performers : dict of type to callable
+        Carries out each type of effect.
+    """
+
+    edge: Edge
+    settings: EdgeSettings
+    wire: WireFormat
+    loop: AbstractEventLoop
+    store: HttpSession
+    counts: Counter[str] = field(default_factory=Counter)
+    measurements: dict[str, deque[float]] = field(default_factory=dict)
+    lines: LineQueue = field(default_factory=LineQueue)
+    performers: dict[type, Callable[[Any], None]] = field(default_factory=dict)
+
+
+def read_clock() -> float:
+    """Return seconds of a clock that also counts while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def perform(process: EdgeProcess, effects: Iterable[EdgeEffect]) -> None:
+    """Carry out effects in order."""
+    for effect in effects:
+        process.performers[type(effect)](effect)
+
+
+def log_event(
+    process: EdgeProcess,
+    name: str,
+    create_fields: Callable[[], Mapping[str, object]],
+) -> None:
+    """Count an event and queue its line."""
+    process.counts[name] += 1
+    add_line(process.lines, name, create_fields, read_clock())
+
+
+def write_event(process: EdgeProcess, effect: WriteEvent) -> None:
+    """Log the event of an effect, with its flow as text."""
+
+    def create_fields() -> Mapping[str, object]:
+        fields = dict(effect.fields)
+        flow_key = fields.get('flow')
+        if isinstance(flow_key, bytes):
+            fields['flow'] = process.wire.describe_flow(flow_key)
+        return fields
+
+    log_event(process, effect.name, create_fields)
+
+
+def measure(process: EdgeProcess, name: str, seconds: float) -> None:
+    """Keep a measurement until the metrics are fetched."""
+    waiting = process.measurements.get(name)
+    if waiting is None:
+        waiting = deque(maxlen=WAITING_MEASUREMENTS)
+        process.measurements[name] = waiting
+    waiting.append(seconds)
+
+
+def listen(
+    process: EdgeProcess,
+    address: SocketAddress,
+    answer: Callable[[str], HttpAnswer],
+) -> None:
+    """Answer HTTP requests at an address; the loop must not run yet."""
+    process.loop.run_until_complete(
+        process.loop.create_server(
+            lambda: HttpServerConnection(answer),
+            address.host,
+            address.port,
+        ),
+    )
--- /dev/null
+++ b/balsamshed/front_ends/edge_metrics.py
@@ -0,0 +1,94 @@
+"""Metrics of an edge balancer, loaded by the first fetch."""
+
+from functools import cache
+from typing import Final
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from balsamshed.front_ends.edge_context import EdgeProcess, read_clock
+from balsamshed.placement.in_flight import is_suspected
+from balsamshed.store.reading import get_age
+
+#: Upper bounds of durations in seconds, from a packet's to a lost call's.
+BUCKETS_SECONDS: Final = (
+    0.00002,
+    0.00005,
+    0.0001,
+    0.0005,
+    0.002,
+    0.005,
+    0.02,
+    0.1,
+    0.3,
+    1,
+    3,
+)
+_TEXT_FORMAT: Final = ('text/plain',)
+
+
+class EdgeMetrics:
+    """Collectors of one process."""
+
+    def __init__(self) -> None:
+        """Create the collectors."""
+        self.registry = Registry()
+        self.events = Counter(
+            'balsamshed_edge_events_total',
+            'Events and packets by name.',
+        )
+        self.durations = Histogram(
+            'balsamshed_edge_duration_seconds',
+            'Durations by what was measured; a sample of the packets.',
+            buckets=list(BUCKETS_SECONDS),
+        )
+        self.gauges = Gauge(
+            'balsamshed_edge_state',
+            'State of the balancer by name.',
+        )
+        for collector in (self.events, self.durations, self.gauges):
+            self.registry.register(collector)
+
+
+@cache
+def get_metrics() -> EdgeMetrics:
+    """Return the collectors of this process."""
+    return EdgeMetrics()
+
+
+def render_metrics(process: EdgeProcess) -> bytes:
+    """Return all metrics as text."""
+    metrics = get_metrics()
+    for name, count in process.counts.items():
+        metrics.events.set({'event': name}, count)
+    for name, seconds in process.measurements.items():
+        while seconds:
+            metrics.durations.observe({'of': name}, seconds.popleft())
+    for name, amount in _list_gauges(process).items():
+        metrics.gauges.set({'name': name}, amount)
+    content, _headers = render(metrics.registry, _TEXT_FORMAT)
+    return bytes(content)
+
+
+def _list_gauges(process: EdgeProcess) -> dict[str, float]:
+    edge, now = process.edge, read_clock()
+    steering = edge.steering
+    endpoints = steering.directory.endpoints.values()
+    return {
+        'is_ready': int(edge.was_ready and edge.leaving_since is None),
+        'routes_version': steering.routes.version,
+        'routes': len(steering.routes.routes),
+        'store_revision': edge.reads.revision,
+        'view_age_seconds': get_age(edge.reads, now),
+        'peers': sum(
+            peer.report is not None for peer in edge.roster.peers.values()
+        ),
+        'endpoints_ready': sum(not known.is_draining for known in endpoints),
+        'endpoints_draining': sum(known.is_draining for known in endpoints),
+        'endpoints_missing': len(steering.directory.missing_since),
+        'endpoints_suspected': sum(
+            is_suspected(steering.board, cookie, now)
+            for cookie in steering.board.suspicions
+        ),
+        'requests_in_flight': len(steering.requests.pending),
+        'log_lines_waiting': len(process.lines.lines),
+    }
--- /dev/null
+++ b/balsamshed/front_ends/edge_packets.py
@@ -0,0 +1,94 @@
+"""Packet socket of an edge balancer."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from balsamshed.edge.explanations import explain_opening, explain_refusal
+from balsamshed.front_ends.datagram_socket import DatagramSocket
+from balsamshed.front_ends.edge_context import (
+    EdgeProcess,
+    log_event,
+    measure,
+    read_clock,
+)
+from balsamshed.steering.decisions import steer_packet
+from balsamshed.steering.packets import (
+    DropPacket,
+    FlowPacket,
+    ForwardFlow,
+    PacketKind,
+    ResetFlow,
+)
+
+#: Of so many packets, the time of one is measured.
+MEASURED_SHARE: Final = 32
+
+
+def open_packet_socket(process: EdgeProcess) -> None:
+    """Take packets of callers from the platform's routers."""
+    edge, wire, counts = process.edge, process.wire, process.counts
+    steering = edge.steering
+    caller_port = process.settings.packets.port
+
+    def take_datagram(datagram: bytes, _sender: tuple[str, int]) -> None:
+        now = read_clock()
+        packet = wire.decode_packet(datagram)
+        if not isinstance(packet, FlowPacket):
+            counts[f'malformed_{packet.reason}'] += 1
+            return
+        edge.last_packet_at = now
+        effect = steer_packet(steering, packet, now)
+        counts['packets'] += 1
+        if isinstance(effect, ForwardFlow):
+            endpoint = effect.endpoint
+            forwarded = wire.encode_forwarded(
+                datagram,
+                endpoint.instance,
+                effect.cookie,
+            )
+            port.send(forwarded, (endpoint.host, endpoint.port))
+            if packet.kind is PacketKind.OPENING:
+                _log_opening(process, packet, effect, now)
+        else:
+            if isinstance(effect, ResetFlow):
+                caller = (wire.get_caller_address(datagram), caller_port)
+                port.send(wire.encode_reset(datagram), caller)
+            _log_refusal(process, packet, effect, now)
+        if not counts['packets'] % MEASURED_SHARE:
+            measure(process, 'packet', read_clock() - now)
+
+    def count(name: str) -> None:
+        counts[name] += 1
+
+    port = DatagramSocket(process.settings.packets, take_datagram, count)
+    port.watch(process.loop)
+
+
+def _log_opening(
+    process: EdgeProcess,
+    packet: FlowPacket,
+    effect: ForwardFlow,
+    now: float,
+) -> None:
+    def create_fields() -> Mapping[str, object]:
+        flow = process.wire.describe_flow(packet.flow_key)
+        return explain_opening(process.edge, packet, flow, effect, now)
+
+    # A repeated opening is a failure of the first, and so has its own limit.
+    name = 'opening_repeated' if packet.attempt else 'opening_forwarded'
+    log_event(process, name, create_fields)
+
+
+def _log_refusal(
+    process: EdgeProcess,
+    packet: FlowPacket,
+    effect: ResetFlow | DropPacket,
+    now: float,
+) -> None:
+    def create_fields() -> Mapping[str, object]:
+        flow = process.wire.describe_flow(packet.flow_key)
+        return explain_refusal(process.edge, packet, flow, effect, now)
+
+    kind = 'flow_reset' if isinstance(effect, ResetFlow) else 'packet_dropped'
+    process.counts[f'{kind}_{effect.reason}'] += 1
+    log_event(process, kind, create_fields)
--- /dev/null
+++ b/balsamshed/front_ends/edge_peers.py
@@ -0,0 +1,110 @@
+"""Peer port of an edge balancer: reports by UDP, views by HTTP."""
+
+from typing import Final
+
+from balsamshed.codecs.reports import (
+    MalformedReport,
+    decode_report,
+    encode_report,
+)
+from balsamshed.codecs.views import decode_view, encode_view
+from balsamshed.edge.effects import EdgeEffect, FetchView, SendReport
+from balsamshed.edge.state import Edge
+from balsamshed.edge.views import (
+    get_view,
+    handle_peer_view,
+    handle_read_failed,
+    handle_report,
+)
+from balsamshed.front_ends.datagram_socket import DatagramSocket
+from balsamshed.front_ends.edge_context import (
+    EdgeProcess,
+    listen,
+    measure,
+    perform,
+    read_clock,
+)
+from balsamshed.front_ends.http_port import HttpAnswer
+from balsamshed.front_ends.http_session import (
+    HttpFailure,
+    HttpResponse,
+    HttpSession,
+)
+from balsamshed.settings.balancer import SocketAddress
+from balsamshed.store.reading import Source
+
+#: Path of a balancer's view of the store, for its peers.
+VIEW_PATH: Final = '/view'
+#: A peer that does not answer in this time is not waited for any longer.
+FETCH_TIMEOUT_SECONDS: Final = 0.5
+
+_OK: Final = 200
+
+
+def open_peer_port(process: EdgeProcess) -> None:
+    """Take reports of peers and let them fetch this balancer's view."""
+    peer_port = process.settings.peer_ports[0]
+    counts = process.counts
+
+    def take_datagram(datagram: bytes, sender: tuple[str, int]) -> None:
+        report = decode_report(datagram)
+        if isinstance(report, MalformedReport):
+            counts[f'malformed_report_{report}'] += 1
+            return
+        effects = handle_report(process.edge, sender[0], report, read_clock())
+        perform(process, effects)
+
+    def count(name: str) -> None:
+        counts[f'report_{name}'] += 1
+
+    def send_report(effect: SendReport) -> None:
+        datagram = encode_report(effect.report)
+        counts['report_bytes'] += len(datagram) * len(effect.hosts)
+        for host in effect.hosts:
+            port.send(datagram, (host, peer_port))
+
+    def fetch_view(effect: FetchView) -> None:
+        address = SocketAddress(effect.host, peer_port)
+        _fetch_view(process, HttpSession(process.loop, address))
+
+    def answer(target: str) -> HttpAnswer:
+        if target != VIEW_PATH:
+            return HttpAnswer(404)
+        if process.edge.reads.revision < 0:
+            return HttpAnswer(503)
+        body = encode_view(*get_view(process.edge))
+        return HttpAnswer(_OK, body, 'application/json')
+
+    address = SocketAddress(process.settings.packets.host, peer_port)
+    port = DatagramSocket(address, take_datagram, count)
+    port.watch(process.loop)
+    listen(process, address, answer)
+    process.performers[SendReport] = send_report
+    process.performers[FetchView] = fetch_view
+
+
+def _fetch_view(process: EdgeProcess, session: HttpSession) -> None:
+    started_at = read_clock()
+
+    def take_response(outcome: HttpResponse | HttpFailure) -> None:
+        session.close()
+        measure(process, 'peer_view', read_clock() - started_at)
+        perform(process, _handle_view(process.edge, outcome))
+
+    session.get(VIEW_PATH, FETCH_TIMEOUT_SECONDS, take_response)
+
+
+def _handle_view(
+    edge: Edge,
+    outcome: HttpResponse | HttpFailure,
+) -> list[EdgeEffect]:
+    now = read_clock()
+    if isinstance(outcome, HttpFailure):
+        reason = outcome.reason
+    elif outcome.status != _OK:
+        reason = f'status_{outcome.status}'
+    elif (view := decode_view(outcome.body)) is None:
+        reason = 'malformed'
+    else:
+        return handle_peer_view(edge, *view, now)
+    return handle_read_failed(edge, Source.PEER_VIEW, reason, now)
--- /dev/null
+++ b/balsamshed/front_ends/edge_store.py
@@ -0,0 +1,81 @@
+"""Reads of the store by an edge balancer."""
+
+from functools import partial
+
+from balsamshed.edge.effects import EdgeEffect, ReadSource
+from balsamshed.edge.views import (
+    handle_endpoints,
+    handle_read_failed,
+    handle_routes,
+)
+from balsamshed.front_ends.edge_context import (
+    EdgeProcess,
+    log_event,
+    measure,
+    perform,
+    read_clock,
+)
+from balsamshed.front_ends.http_session import HttpFailure
+from balsamshed.front_ends.source_reader import SourceListing, read_source
+from balsamshed.store.reading import Source
+
+
+def read_store(process: EdgeProcess, effect: ReadSource) -> None:
+    """Read a source from the store, and take over what it holds."""
+    process.counts[f'store_reads_{effect.source}'] += 1
+    read_source(
+        process.store,
+        process.wire.store,
+        effect.source,
+        partial(_take_listing, process, effect.source, read_clock()),
+    )
+
+
+def _take_listing(
+    process: EdgeProcess,
+    source: Source,
+    started_at: float,
+    outcome: SourceListing | HttpFailure,
+) -> None:
+    now = read_clock()
+    measure(process, 'store_read', now - started_at)
+    if isinstance(outcome, HttpFailure):
+        process.counts['store_reads_failed'] += 1
+        effects = handle_read_failed(process.edge, source, outcome.reason, now)
+    elif source is Source.ENDPOINTS:
+        effects = _take_endpoints(process, outcome, now)
+    else:
+        effects = _take_routes(process, outcome, now)
+    perform(process, effects)
+
+
+def _take_endpoints(
+    process: EdgeProcess,
+    listing: SourceListing,
+    now: float,
+) -> list[EdgeEffect]:
+    view, rejected = process.wire.decode_endpoints(listing)
+    # The same entries are rejected at each read: only news gets a line.
+    if len(rejected) != process.counts['entries_rejected_now']:
+        process.counts['entries_rejected_now'] = len(rejected)
+        log_event(
+            process,
+            'entries_rejected',
+            lambda: {
+                'count': len(rejected),
+                'first': ''.join(rejected[:1]),
+                'revision': view.revision,
+            },
+        )
+    return handle_endpoints(process.edge, view, now)
+
+
+def _take_routes(
+    process: EdgeProcess,
+    listing: SourceListing,
+    now: float,
+) -> list[EdgeEffect]:
+    table = process.wire.decode_routes(listing)
+    if isinstance(table, str):
+        return handle_read_failed(process.edge, Source.ROUTES, table, now)
+    return handle_routes(process.edge, table, now)
--- a/balsamshed/logs/stream.py
+++ b/balsamshed/logs/stream.py
@@ -8,14 +8,18 @@
 import os
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
+from balsamshed.logs.limits import EventLimiter, admit_event
 from balsamshed.logs.lines import format_line
 
 #: Lines that wait at most; the oldest are left out first.
 QUEUE_LINES: Final = 2000
+#: Lines of one event name a second. Refusals and failures have names of their
+#: own, so that a flood of successes does not crowd them out.
+LINES_PER_SECOND: Final = 20
 
 
 @dataclass(slots=True)
@@ -26,6 +30,8 @@
     ----------
     lines : deque of bytes
         Whole lines, the oldest first.
+    limiter : EventLimiter
+        Limits the lines of each event.
     left_out : int
         Lines that were dropped since the last one that was written.
     rest : bytes
@@ -33,12 +39,20 @@
     """
 
     lines: deque[bytes] = field(default_factory=deque)
+    limiter: EventLimiter = field(
+        default_factory=lambda: EventLimiter(lines=LINES_PER_SECOND),
+    )
     left_out: int = 0
     rest: bytes = b''
 
 
-def add_line(queue: LineQueue, name: str, fields: dict[str, object]) -> None:
-    """Queue the line of an event.
+def add_line(
+    queue: LineQueue,
+    name: str,
+    create_fields: Callable[[], Mapping[str, object]],
+    now: float,
+) -> None:
+    """Queue the line of an event, unless its event has had too many.
 
     Parameters
     ----------
@@ -46,11 +60,18 @@
         Changed in place.
     name : str
         Name of the event.
-    fields : dict of str to object
-        Values of the event.
+    create_fields : callable
+        Returns the values of the event; called only for a line that counts.
+    now : float
+        Seconds of a steady clock.
     """
+    skipped = admit_event(queue.limiter, name, now)
+    if skipped is None:
+        return
     line: dict[str, object] = {'time': f'{time.time():.3f}', 'event': name}
-    line.update(fields)
+    if skipped:
+        line['left_out'] = skipped
+    line.update(create_fields())
     if len(queue.lines) >= QUEUE_LINES:
         queue.lines.popleft()
         queue.left_out += 1
--- a/balsamshed/logs/tests/test_events.py
+++ b/balsamshed/logs/tests/test_events.py
@@ -8,12 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from balsamshed.logs.events import (
-    EventLimiter,
-    admit_event,
-    create_event_log,
-    log_event,
-)
+from balsamshed.logs.events import create_event_log, log_event
+from balsamshed.logs.limits import EventLimiter, admit_event
 from balsamshed.logs.lines import format_line, format_value, parse_line
 
 KEYS = st.from_regex('[a-z_][a-z0-9_]{0,8}', fullmatch=True)
--- a/balsamshed/logs/tests/test_stream.py
+++ b/balsamshed/logs/tests/test_stream.py
@@ -5,6 +5,7 @@
 
 from balsamshed.logs.lines import parse_line
 from balsamshed.logs.stream import (
+    LINES_PER_SECOND,
     QUEUE_LINES,
     LineQueue,
     add_line,
@@ -21,8 +22,8 @@
         written.append(chunk)
         return len(chunk)
 
-    add_line(queue, 'first', {'reason': 'two words'})
-    add_line(queue, 'second', {})
+    add_line(queue, 'first', lambda: {'reason': 'two words'}, 0)
+    add_line(queue, 'second', dict, 0)
     write_lines(queue, write)
     events = [parse_line(chunk.decode()) for chunk in written]
     assert [event['event'] for event in events] == ['first', 'second']
@@ -32,8 +33,8 @@
 def test_line_taken_in_parts_stays_whole():
     """Guards against mixed lines when the stream takes only a part."""
     queue, taken = LineQueue(), bytearray()
-    add_line(queue, 'event', {'number': 1})
-    add_line(queue, 'event', {'number': 2})
+    add_line(queue, 'event', lambda: {'number': 1}, 0)
+    add_line(queue, 'event', lambda: {'number': 2}, 0)
     expected = b''.join(queue.lines)
     write_lines(queue, lambda chunk: _take_seven(chunk, taken))
     while queue.rest or queue.lines:
@@ -55,7 +56,8 @@
         queue = LineQueue()
         start = time.monotonic()
         for number in range(QUEUE_LINES + 3000):
-            add_line(queue, 'event', {'number': number, 'text': 'x' * 100})
+            # Each event comes in a second of its own.
+            add_line(queue, 'event', lambda: {'text': 'x' * 100}, number)
             write_lines(queue, write)
         assert time.monotonic() - start < 5
         assert len(queue.lines) <= QUEUE_LINES
@@ -76,7 +78,25 @@
     reader, writer = os.pipe()
     os.close(reader)
     queue = LineQueue()
-    add_line(queue, 'event', {})
+    add_line(queue, 'event', dict, 0)
     write_lines(queue, create_stream_writer(writer))
     assert not queue.lines
     os.close(writer)
+
+
+def test_flood_of_one_event_leaves_room_for_others():
+    """Guards against failures that a flood of successes crowds out."""
+    queue, built = LineQueue(), []
+
+    def create_fields():
+        built.append(1)
+        return {}
+
+    for _ in range(1000):
+        add_line(queue, 'flow_opened', create_fields, 0)
+    add_line(queue, 'flow_reset', create_fields, 0.5)
+    assert len(queue.lines) == LINES_PER_SECOND + 1
+    assert len(built) == LINES_PER_SECOND + 1
+    add_line(queue, 'flow_opened', create_fields, 1)
+    event = parse_line(queue.lines[-1].decode())
+    assert event['left_out'] == str(1000 - LINES_PER_SECOND)
--- a/balsamshed/platform/packets.py
+++ b/balsamshed/platform/packets.py
@@ -31,6 +31,7 @@
 #: Both ends and what is acknowledged: ``dst``, ``sport``, ``dport``, ``src``
 #: and ``ack``.
 _ENDS: Final = Struct('<14x I H H I 4x I 2x')
+_FLOW_KEY: Final = Struct('<I H H I')
 _COOKIE: Final = Struct('<I')
 #: Before the packet, an endpoint expects its own identity.
 _INSTANCE: Final = Struct('>Q')
@@ -139,8 +140,18 @@
 
 def get_caller_address(raw: bytes) -> str:
     """Return the IPv4 address of a packet's sender as text."""
-    source = _ENDS.unpack_from(raw)[3]
-    return '.'.join(str(octet) for octet in source.to_bytes(4, 'big'))
+    return _format_address(_ENDS.unpack_from(raw)[3])
+
+
+def describe_flow(flow_key: bytes) -> str:
+    """Return a flow as text: the caller's end, then the address it called."""
+    destination, source_port, port, source = _FLOW_KEY.unpack(flow_key)
+    caller = f'{_format_address(source)}:{source_port}'
+    return f'{caller}>{_format_address(destination)}:{port}'
+
+
+def _format_address(address: int) -> str:
+    return '.'.join(str(octet) for octet in address.to_bytes(4, 'big'))
 
 
 def _judge_kind(flags: int, length: int) -> PacketKind:
--- a/balsamshed/platform/wire.py
+++ b/balsamshed/platform/wire.py
@@ -4,8 +4,8 @@
 
 from balsamshed.endpoints.directory import EndpointView
 from balsamshed.endpoints.endpoint import Endpoint
-from balsamshed.front_ends.edge_process import WireFormat
 from balsamshed.front_ends.source_reader import SourceListing, StoreFormat
+from balsamshed.front_ends.wire_format import WireFormat
 from balsamshed.platform.calls import decode_page, format_list_path, get_name
 from balsamshed.platform.entries import (
     EntryRejection,
@@ -14,6 +14,7 @@
 )
 from balsamshed.platform.packets import (
     decode_packet,
+    describe_flow,
     encode_forwarded,
     encode_reset,
     get_caller_address,
@@ -32,6 +33,7 @@
         encode_forwarded=encode_forwarded,
         encode_reset=encode_reset,
         get_caller_address=get_caller_address,
+        describe_flow=describe_flow,
         decode_endpoints=decode_endpoints,
         decode_routes=decode_configuration,
         store=StoreFormat(format_list_path, decode_page),
--- a/balsamshed/settings/edge.py
+++ b/balsamshed/settings/edge.py
@@ -31,6 +31,8 @@
         TCP address of the readiness check.
     store : SocketAddress
         TCP address of the object store.
+    metrics : SocketAddress
+        TCP address of the metrics.
     peer_ports : tuple of int
         First and last port for messages between balancers.
     seeds : tuple of SocketAddress
@@ -46,6 +48,7 @@
     packets: SocketAddress
     ready: SocketAddress
     store: SocketAddress
+    metrics: SocketAddress
     peer_ports: tuple[int, ...]
     seeds: tuple[SocketAddress, ...]
     flow_lifetime_seconds: float
@@ -128,6 +131,7 @@
     'packets': _ADDRESS_RULE,
     'ready': _ADDRESS_RULE,
     'store': _ADDRESS_RULE,
+    'metrics': _ADDRESS_RULE,
     'peer_ports': _Rule('the first and the last port', _is_port_range),
     'seeds': _Rule('a list of addresses', _is_address_list),
     'flow_lifetime_seconds': _Rule('seconds above 0', _is_amount),
@@ -142,6 +146,7 @@
         packets=_parse_address(content['packets']),
         ready=_parse_address(content['ready']),
         store=_parse_address(content['store']),
+        metrics=_parse_address(content['metrics']),
         peer_ports=tuple(content['peer_ports']),
         seeds=tuple(map(_parse_address, content['seeds'])),
         flow_lifetime_seconds=content['flow_lifetime_seconds'],
--- a/balsamshed/settings/tests/test_edge.py
+++ b/balsamshed/settings/tests/test_edge.py
@@ -13,6 +13,7 @@
     'packets': '127.0.0.1:7000',
     'ready': '127.0.0.1:7001',
     'store': '127.0.0.1:7002',
+    'metrics': '127.0.0.1:7004',
     'peer_ports': [7010, 7020],
     'seeds': ['127.0.0.1:7003'],
     'flow_lifetime_seconds': 60,
@@ -32,11 +33,12 @@
 def test_all_faults_are_reported_together():
     """Guards against a start for each fault of a file."""
     content = {**VALID, 'ready': '127.0.0.1', 'seeds': None}
-    del content['name']
+    del content['name'], content['metrics']
     findings = parse_edge_settings(json.dumps(content))
     assert [finding.place for finding in findings] == [
         '$.name',
         '$.ready',
+        '$.metrics',
         '$.seeds',
     ]
 
--- a/balsamshed/steering/requests.py
+++ b/balsamshed/steering/requests.py
@@ -157,7 +157,10 @@
         table.counts.pop(request.cookie, None)
 
 
-def expire_requests(table: RequestTable, now: float) -> tuple[bytes, ...]:
+def expire_requests(
+    table: RequestTable,
+    now: float,
+) -> tuple[tuple[bytes, PendingRequest], ...]:
     """Forget requests that started too long ago.
 
     Parameters
@@ -169,15 +172,15 @@
 
     Returns
     -------
-    tuple of bytes
-        Keys of the flows whose requests were forgotten.
+    tuple of (bytes, PendingRequest)
+        Flow keys and requests that were forgotten.
     """
-    expired: list[bytes] = []
+    expired: list[tuple[bytes, PendingRequest]] = []
     for flow_key, request in table.pending.items():
         if now - request.since <= REQUEST_LIFETIME_SECONDS:
             break
-        expired.append(flow_key)
-    for flow_key in expired:
+        expired.append((flow_key, request))
+    for flow_key, _ in expired:
         end_request(table, flow_key)
     return tuple(expired)
 
--- a/balsamshed/steering/tests/test_requests.py
+++ b/balsamshed/steering/tests/test_requests.py
@@ -95,5 +95,6 @@
     start_opening(table, b'old', COOKIE, 0)
     start_opening(table, b'new', COOKIE, 1)
     now = REQUEST_LIFETIME_SECONDS + 0.5
-    assert expire_requests(table, now) == (b'old',)
+    ((flow_key, request),) = expire_requests(table, now)
+    assert (flow_key, request.cookie) == (b'old', COOKIE)
     assert table.counts == {COOKIE: 1}
--- a/testbed/tests/test_edge_processes.py
+++ b/testbed/tests/test_edge_processes.py
@@ -62,6 +62,7 @@
         self.packet_port = next(self.ports)
         self.peer_port = next(self.ports)
         self.store_port = next(self.ports)
+        self.metrics_port = next(self.ports)
 
     async def start_store(self):
         """Start the store, with a configuration."""
@@ -122,6 +123,7 @@
             'packets': f'{host}:{self.packet_port}',
             'ready': f'{host}:{self.packet_port}',
             'store': f'127.0.0.1:{self.store_port}',
+            'metrics': f'{host}:{self.metrics_port}',
             'peer_ports': [self.peer_port, self.peer_port],
             'seeds': [f'127.0.0.11:{self.peer_port}'],
             'flow_lifetime_seconds': 60,
@@ -341,3 +343,46 @@
     assert done.returncode == 2
     assert '$.ready' in done.stderr
     assert '$.store' in done.stderr
+
+
+async def fetch_metrics(site, host):
+    reader, writer = await asyncio.open_connection(host, site.metrics_port)
+    writer.write(b'GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n')
+    text = (await asyncio.wait_for(reader.read(), 5)).decode()
+    writer.close()
+    return text
+
+
+async def check_explanations(site):
+    await site.start_store()
+    await site.start_endpoint(1)
+    host = site.start_balancer(1)
+    await wait_until(lambda: site.is_ready(host), 'ready')
+    _, cookie = await open_flow(site, host, 9000)
+    site.send(host, build_packet(SYN, 9000, acknowledged=1))
+    site.send(host, build_packet(ACK, 9000, cookie ^ 1, b'x'))
+    site.send(host, b'short')
+
+    def list_names():
+        return [event['event'] for event in site.read_events(1)]
+
+    await wait_until(lambda: 'packet_dropped' in list_names(), 'a line')
+    events = {event['event']: event for event in site.read_events(1)}
+    opened = events['opening_forwarded']
+    assert opened['flow'] == f'{CALLER}:9000>{SERVICE}:{PORT}'
+    assert opened['endpoint'] == '1'
+    assert opened['version'] == '1'
+    assert float(opened['age_seconds']) < 2
+    assert events['packet_dropped']['reason'] == 'unknown_cookie'
+    text = await fetch_metrics(site, host)
+    assert 'balsamshed_edge_events_total{event="malformed_too_short"} 1' in text
+    assert 'balsamshed_edge_state{name="is_ready"} 1' in text
+    assert 'balsamshed_edge_duration_seconds_bucket' in text
+    second = await fetch_metrics(site, host)
+    assert 'balsamshed_edge_state{name="endpoints_ready"} 1' in second
+
+
+def test_logs_and_metrics_explain_what_happened(tmp_path):
+    """Guards against a failed request that nobody can explain."""
+    with open_site(tmp_path) as site:
+        asyncio.run(check_explanations(site))
