Distrust reports that the loop reads before its first tick after a pause

Cause: the loop serves sockets before timers, so reports that had waited while the process was frozen confirmed a view with an age that lacked the freeze. A drain could then be missed for longer than its bound. Found by reading; the test failed first. Change: whatever comes first after a pause notices it. Times of openings and answers go to the metrics.

--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -9,7 +9,7 @@
     StopProcess,
     WriteEvent,
 )
-from balsamshed.edge.state import Edge
+from balsamshed.edge.state import Edge, note_pause
 from balsamshed.edge.views import note_changes
 from balsamshed.endpoints.directory import remove_missing
 from balsamshed.peers.report import EndpointReport, Report
@@ -30,10 +30,6 @@
 
 #: Time between ticks, and so between reports to peers.
 TICK_SECONDS: Final = 0.1
-#: A tick that comes this late means that the process was paused.
-PAUSE_SECONDS: Final = 0.6
-#: Reports that waited in the socket during a pause are read within this time.
-DISTRUST_SECONDS: Final = 0.3
 #: The routers check readiness twice a second and take a balancer out of
 #: rotation after two misses, so packets stop about 1.5 s after SIGTERM.
 LEAVE_SECONDS: Final = 1.8
@@ -45,7 +41,11 @@
 
 def handle_tick(edge: Edge, now: float) -> list[EdgeEffect]:
     """Do what is due."""
-    effects = _note_pause(edge, now)
+    effects: list[EdgeEffect] = []
+    pause = note_pause(edge, now)
+    if pause:
+        effects.append(WriteEvent('paused', {'seconds': round(pause, 3)}))
+    edge.last_tick_at = now
     steering = edge.steering
     for flow_key, request in expire_requests(steering.requests, now):
         effects.append(_describe_unanswered(flow_key, request, now))
@@ -111,15 +111,6 @@
     )
 
 
-def _note_pause(edge: Edge, now: float) -> list[EdgeEffect]:
-    gap = now - edge.last_tick_at
-    edge.last_tick_at = now
-    if gap < PAUSE_SECONDS:
-        return []
-    edge.distrusted_until = now + DISTRUST_SECONDS
-    return [WriteEvent('paused', {'seconds': round(gap, 3)})]
-
-
 def _may_stop(edge: Edge, now: float) -> bool:
     elapsed = now - (edge.leaving_since or 0)
     if elapsed >= edge.grace_seconds - STOP_RESERVE_SECONDS:
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -2,11 +2,17 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 from balsamshed.peers.roster import Roster
 from balsamshed.steering.decisions import Steering, create_steering, is_ready
 from balsamshed.store.reading import ReadState
 
+#: A tick that comes this late means that the process was paused.
+PAUSE_SECONDS: Final = 0.6
+#: Reports that waited in the socket during a pause are read within this time.
+DISTRUST_SECONDS: Final = 0.3
+
 
 @dataclass(slots=True)
 class Edge:
@@ -86,6 +92,31 @@
     )
 
 
+def note_pause(edge: Edge, now: float) -> float:
+    """Distrust reports for a while if the process was paused.
+
+    The loop serves sockets before timers, so that whatever comes first after
+    a pause has to notice it.
+
+    Parameters
+    ----------
+    edge : Edge
+        Changed in place.
+    now : float
+        Seconds of the balancer's clock.
+
+    Returns
+    -------
+    float
+        Length of the pause in seconds; zero if there was none.
+    """
+    gap = now - edge.last_tick_at
+    if gap < PAUSE_SECONDS:
+        return 0
+    edge.distrusted_until = now + DISTRUST_SECONDS
+    return gap
+
+
 def accepts_traffic(edge: Edge) -> bool:
     """Tell whether the routers should send packets to this balancer."""
     return edge.leaving_since is None and is_ready(edge.steering)
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -36,6 +36,11 @@
     return [effect.host for effect in effects if isinstance(effect, FetchView)]
 
 
+def tick_and_report(edge, host, report, now):
+    edge.last_tick_at = now
+    return handle_report(edge, host, report, now)
+
+
 def test_balancer_is_ready_once_it_knows_routes_and_endpoints():
     """Guards against callers sent to a balancer that knows nothing."""
     edge = build_edge()
@@ -58,10 +63,10 @@
     edge = build_edge()
     read_store(edge, build_view(1, build_endpoint(1)), build_table(1), 0)
     report = Report('a', 2, 0.1, (), ())
-    assert list_fetches(handle_report(edge, '10.9.0.2', report, 1)) == [
+    assert list_fetches(tick_and_report(edge, '10.9.0.2', report, 1)) == [
         '10.9.0.2'
     ]
-    assert list_fetches(handle_report(edge, '10.9.0.3', report, 1)) == []
+    assert list_fetches(tick_and_report(edge, '10.9.0.3', report, 1)) == []
     draining = build_endpoint(1, is_draining=True)
     handle_peer_view(edge, build_table(2), build_view(2, draining), 1.1)
     assert list_open_endpoints(edge.steering.directory, 'web') == ()
@@ -74,9 +79,9 @@
     edge = build_edge()
     read_store(edge, build_view(1, build_endpoint(1)), build_table(1), 0)
     report = Report('a', 2, 0.1, (), ())
-    handle_report(edge, '10.9.0.2', report, 1)
+    tick_and_report(edge, '10.9.0.2', report, 1)
     handle_read_failed(edge, Source.PEER_VIEW, 'timed_out', 1.5)
-    assert list_fetches(handle_report(edge, '10.9.0.2', report, 1.6))
+    assert list_fetches(tick_and_report(edge, '10.9.0.2', report, 1.6))
 
 
 def test_peer_view_that_is_older_changes_nothing():
@@ -94,12 +99,21 @@
     edge = build_edge()
     read_store(edge, build_view(1, build_endpoint(1)), build_table(1), 0)
     edge.distrusted_until = 10
-    handle_report(edge, '10.9.0.2', Report('a', 1, 0.1, (), ()), 9)
+    tick_and_report(edge, '10.9.0.2', Report('a', 1, 0.1, (), ()), 9)
     assert get_age(edge.reads, 9) == 9
-    handle_report(edge, '10.9.0.2', Report('a', 1, 0.1, (), ()), 10)
+    tick_and_report(edge, '10.9.0.2', Report('a', 1, 0.1, (), ()), 10)
     assert get_age(edge.reads, 10) < 0.2
 
 
+def test_report_read_before_the_first_tick_after_a_pause_confirms_nothing():
+    """Guards against the loop, which serves sockets before its timers."""
+    edge = build_edge()
+    read_store(edge, build_view(1, build_endpoint(1)), build_table(1), 0)
+    edge.last_tick_at = 0.1
+    handle_report(edge, '10.9.0.2', Report('a', 1, 0.1, (), ()), 9)
+    assert get_age(edge.reads, 9) == 9
+
+
 def test_lapsed_entries_do_not_refuse_callers():
     """Guards against resets for two seconds after an outage of the store."""
     edge = build_edge()
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -9,7 +9,7 @@
     ReadSource,
     WriteEvent,
 )
-from balsamshed.edge.state import Edge
+from balsamshed.edge.state import Edge, note_pause
 from balsamshed.endpoints.directory import (
     ChangeKind,
     EndpointChange,
@@ -98,6 +98,7 @@
                 {'peer': host, 'data_centre': report.data_centre},
             ),
         )
+    note_pause(edge, now)
     if now < edge.distrusted_until:
         # The age in the report may be older by the length of a pause.
         return effects
--- a/balsamshed/front_ends/edge_metrics.py
+++ b/balsamshed/front_ends/edge_metrics.py
@@ -63,12 +63,25 @@
     for name, seconds in process.measurements.items():
         while seconds:
             metrics.durations.observe({'of': name}, seconds.popleft())
+    _observe_answers(metrics, process)
     for name, amount in _list_gauges(process).items():
         metrics.gauges.set({'name': name}, amount)
     content, _headers = render(metrics.registry, _TEXT_FORMAT)
     return bytes(content)
 
 
+def _observe_answers(metrics: EdgeMetrics, process: EdgeProcess) -> None:
+    observations = process.edge.steering.observations
+    while observations:
+        observation = observations.popleft()
+        for name, seconds in (
+            ('opening', observation.opened_after_seconds),
+            ('answer', observation.answered_after_seconds),
+        ):
+            if seconds is not None:
+                metrics.durations.observe({'of': name}, seconds)
+
+
 def _list_gauges(process: EdgeProcess) -> dict[str, float]:
     edge, now = process.edge, read_clock()
     steering = edge.steering
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -1,5 +1,6 @@
 """Decisions about packets of callers."""
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -27,6 +28,7 @@
     SteeringEffect,
 )
 from balsamshed.steering.requests import (
+    Observation,
     Progress,
     RequestTable,
     observe_packet,
@@ -37,6 +39,9 @@
 #: was sent more recently than callers repeat it; the network may duplicate.
 REPEAT_SECONDS: Final = 0.1
 
+#: Observations that wait for the next fetch of the metrics.
+KEPT_OBSERVATIONS: Final = 1000
+
 _NOT_READY: Final = DropPacket('not_ready')
 _NO_ROUTE: Final = ResetFlow('no_route')
 _ROUTE_REMOVED: Final = ResetFlow('route_removed')
@@ -63,6 +68,8 @@
         Routes in force.
     removed_listeners : set of int
         Listeners of earlier versions that have no route any more.
+    observations : deque of Observation
+        The last openings and answers that callers' packets showed.
     """
 
     directory: Directory
@@ -71,6 +78,9 @@
     draw: Callable[[int], int]
     routes: RouteTable = field(default_factory=RouteTable)
     removed_listeners: set[int] = field(default_factory=set)
+    observations: deque[Observation] = field(
+        default_factory=lambda: deque(maxlen=KEPT_OBSERVATIONS),
+    )
 
 
 def create_steering(
@@ -250,5 +260,6 @@
     observation = observe_packet(steering.requests, packet, cookie, now)
     if observation is None:
         return
+    steering.observations.append(observation)
     if observation.opened_after_seconds is not None:
         note_answered(steering.board, cookie)
