--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -19,7 +19,7 @@
     expire_peers,
     rank_reader,
 )
-from balsamshed.placement.in_flight import is_suspected
+from balsamshed.placement.in_flight import InFlightBoard, is_suspected
 from balsamshed.steering.requests import PendingRequest, expire_requests
 from balsamshed.store.reading import (
     Source,
@@ -56,6 +56,7 @@
     if is_read_due(edge.reads, rank_reader(edge.roster), now):
         start_read(edge.reads, now)
         effects.append(ReadSource(Source.ENDPOINTS))
+    effects.extend(_note_suspects(edge, now))
     targets = choose_targets(edge.roster)
     if targets:
         effects.append(SendReport(create_report(edge, now), targets))
@@ -75,11 +76,7 @@
 def create_report(edge: Edge, now: float) -> Report:
     """Return what this balancer tells its peers."""
     board = edge.steering.board
-    suspected = {
-        cookie
-        for cookie in board.suspicions
-        if is_suspected(board, cookie, now)
-    }
+    suspected = _list_suspects(board, now)
     cookies = board.own.keys() | suspected
     return Report(
         edge.data_centre,
@@ -95,6 +92,37 @@
     )
 
 
+def _list_suspects(board: InFlightBoard, now: float) -> frozenset[int]:
+    return frozenset(
+        cookie
+        for cookie in board.suspicions
+        if is_suspected(board, cookie, now)
+    )
+
+
+def _note_suspects(edge: Edge, now: float) -> list[EdgeEffect]:
+    board = edge.steering.board
+    former = edge.suspects
+    edge.suspects = _list_suspects(board, now)
+    effects: list[EdgeEffect] = [
+        WriteEvent(
+            'endpoint_suspected',
+            {
+                'cookie': f'{cookie:08x}',
+                'unanswered_in_a_row': board.suspicions[cookie].failures,
+                'for_seconds': round(board.suspicions[cookie].until - now, 2),
+                'suspecting_peers': board.suspecting.get(cookie, 0),
+            },
+        )
+        for cookie in edge.suspects - former
+    ]
+    effects.extend(
+        WriteEvent('endpoint_trusted', {'cookie': f'{cookie:08x}'})
+        for cookie in former - edge.suspects
+    )
+    return effects
+
+
 def _describe_unanswered(
     flow_key: bytes,
     request: PendingRequest,
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -47,6 +47,8 @@
         Start of the fetch of a peer's view in progress.
     was_ready : bool
         Whether it has been ready before.
+    suspects : frozenset of int
+        Cookies of the endpoints that were suspected at the last tick.
     """
 
     data_centre: str
@@ -62,6 +64,7 @@
     distrusted_until: float = 0
     fetching_since: float | None = None
     was_ready: bool = False
+    suspects: frozenset[int] = frozenset()
 
 
 def create_edge(
--- a/balsamshed/edge/tests/test_lifecycle.py
+++ b/balsamshed/edge/tests/test_lifecycle.py
@@ -1,6 +1,11 @@
 """Tests of ticks and of the stop of an edge balancer."""
 
-from balsamshed.edge.effects import ReadSource, SendReport, StopProcess
+from balsamshed.edge.effects import (
+    ReadSource,
+    SendReport,
+    StopProcess,
+    WriteEvent,
+)
 from balsamshed.edge.lifecycle import (
     LEAVE_SECONDS,
     QUIET_SECONDS,
@@ -19,7 +24,10 @@
 )
 from balsamshed.edge.tests.test_views import read_store
 from balsamshed.peers.roster import add_addresses
-from balsamshed.placement.in_flight import note_unanswered
+from balsamshed.placement.in_flight import (
+    FIRST_SUSPICION_SECONDS,
+    note_unanswered,
+)
 from balsamshed.steering.decisions import steer_packet
 from balsamshed.store.reading import Source
 
@@ -62,6 +70,23 @@
     assert effect.report.revision == 1
 
 
+def test_begin_and_end_of_a_suspicion_are_logged():
+    """Guards against flows that avoid an endpoint and nobody knows why."""
+    edge = build_serving_edge()
+    note_unanswered(edge.steering.board, ENDPOINT.cookie, 0.1)
+
+    def list_names(now):
+        return [
+            effect.name
+            for effect in handle_tick(edge, now)
+            if isinstance(effect, WriteEvent)
+        ]
+
+    assert list_names(0.1) == ['endpoint_suspected']
+    assert list_names(0.2) == []
+    assert 'endpoint_trusted' in list_names(0.1 + FIRST_SUSPICION_SECONDS)
+
+
 def test_load_without_requests_is_not_told():
     """Guards against reports that grow with the number of endpoints."""
     assert create_report(build_serving_edge(), 0.1).endpoints == ()
