Add a fault soak of real processes

Seeded schedules of kills, stops, pauses, reloads, outages and lapses of the store, harmed connections, drains and changes of the routes; the oracle sees only what callers and endpoints see.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: setup demo test measure build format thrift
+.PHONY: setup demo test measure soak build format thrift
 
 setup: $(VENV)/.installed
 
@@ -25,6 +25,12 @@
 measure: setup
 	$(PYTHON) -m testbed.measure
 
+# Real processes under seeded faults; SEEDS and FIRST choose the seeds.
+SEEDS ?= 5
+FIRST ?= 1
+soak: setup
+	$(PYTHON) -m testbed.soak --seeds $(SEEDS) --first $(FIRST)
+
 build: setup
 	$(PYTHON) -m testbed.build
 
--- /dev/null
+++ b/testbed/edge_site.py
@@ -0,0 +1,286 @@
+"""Edge balancers as processes; store, endpoints and callers in this one."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from struct import pack, unpack_from
+from typing import Any, Final
+
+from balsamshed.logs.lines import parse_line
+from testbed.metadata_store import MetadataStore, put_object, serve_store
+
+CALLER: Final = '127.0.0.1'
+SERVICE: Final = '198.51.100.1'
+PORT: Final = 443
+SYN: Final = 32
+ACK: Final = 128
+FIN: Final = 1
+#: How long a condition is waited for.
+WAIT_SECONDS: Final = 8
+
+_PORTS: Final = 60
+_COOKIE_AT: Final = 18
+
+
+def build_packet(
+    flags: int,
+    flow: int,
+    echo: int = 0,
+    data: bytes = b'',
+    acknowledged: int = 0,
+    port: int = PORT,
+) -> bytes:
+    """Return a caller's packet; ``flow`` is the caller's port."""
+    return (
+        pack('<IB5xI', 1, flags, echo)
+        + _pack_address(SERVICE)
+        + pack('<HH', flow, port)
+        + _pack_address(CALLER)
+        + pack('<IIH', 5, acknowledged, len(data))
+        + data
+    )
+
+
+def _pack_address(host: str) -> bytes:
+    return bytes(reversed(socket.inet_aton(host)))
+
+
+class Endpoint(asyncio.DatagramProtocol):
+    """An endpoint that notes what reaches it.
+
+    Parameters
+    ----------
+    port : int
+        Its UDP port.
+    """
+
+    def __init__(self, port: int) -> None:
+        """Start with nothing received."""
+        self.port = port
+        self.received: list[bytes] = []
+        self.take: Callable[[bytes], None] = self.received.append
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Take a datagram."""
+        self.take(data)
+
+
+class Site:
+    """Store, endpoints and balancers of one test.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and logs.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        """Choose the ports; nothing is started yet."""
+        self.folder = folder
+        self.store = MetadataStore(page_size=2)
+        self.endpoints: dict[int, Endpoint] = {}
+        self.processes: dict[int, subprocess.Popen[bytes]] = {}
+        self.ports = iter(find_ports(_PORTS))
+        self.packet_port = next(self.ports)
+        self.peer_port = next(self.ports)
+        self.store_port = next(self.ports)
+        self.metrics_port = next(self.ports)
+        #: Ports at which single balancers reach the store, if not directly.
+        self.store_ports: dict[int, int] = {}
+        # Resets come to the port that callers share.
+        self.caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.caller.bind((CALLER, self.packet_port))
+        self.caller.setblocking(False)
+
+    async def start_store(self) -> None:
+        """Start the store, with a configuration."""
+        self.configure(1)
+        await serve_store(
+            self.store,
+            asyncio.get_running_loop(),
+            '127.0.0.1',
+            self.store_port,
+        )
+
+    def configure(self, version: int, *more_ports: int) -> None:
+        """Write a configuration with a route for each port."""
+        routes = [
+            {
+                'name': f'r{port}',
+                'host': SERVICE,
+                'pathPrefix': f'/{port}/',
+                'service': 'web',
+                'timeoutMs': 1000,
+            }
+            for port in (PORT, *more_ports)
+        ]
+        spec = {
+            'version': version,
+            'routes': routes,
+            'services': [{'name': 'web'}],
+        }
+        put_object(self.store, 'config', 'main', spec)
+
+    async def start_endpoint(self, number: int) -> None:
+        """Start an endpoint and write its entry."""
+        port = next(self.ports)
+        endpoint = Endpoint(port)
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: endpoint,
+            local_addr=('127.0.0.1', port),
+        )
+        self.endpoints[number] = endpoint
+        self.write_entry(number)
+
+    def write_entry(self, number: int, state: str = 'ready') -> None:
+        """Write an endpoint's entry."""
+        spec = {
+            'service': 'web',
+            'address': f'127.0.0.1:{self.endpoints[number].port}',
+            'zone': 'a',
+            'version': 'v1',
+            'maxConcurrency': 2,
+            'state': state,
+            'warmupLeftMs': 0,
+            'sequence': 1,
+            'born': 1700000000000,
+        }
+        put_object(self.store, 'servers', f'i-{number:x}', spec)
+
+    def start_balancer(self, number: int) -> str:
+        """Start a balancer, and return its address."""
+        host = get_host(number)
+        store_port = self.store_ports.get(number, self.store_port)
+        settings = {
+            'name': f'edge-{number}',
+            'data_centre': 'a',
+            'packets': f'{host}:{self.packet_port}',
+            'ready': f'{host}:{self.packet_port}',
+            'store': f'127.0.0.1:{store_port}',
+            'metrics': f'{host}:{self.metrics_port}',
+            'peer_ports': [self.peer_port, self.peer_port],
+            'seeds': [f'{get_host(1)}:{self.peer_port}'],
+            'flow_lifetime_seconds': 60,
+            'grace_seconds': 6,
+        }
+        file = self.folder / f'edge-{number}.json'
+        file.write_text(json.dumps(settings))
+        with (self.folder / f'edge-{number}.log').open('ab') as log:
+            process = subprocess.Popen(
+                [sys.executable, '-m', 'balsamshed', 'edge'],
+                env={**os.environ, 'BALSAMSHED_BOOT': str(file)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self.processes[number] = process
+        return host
+
+    def read_events(self, number: int) -> list[dict[str, str]]:
+        """Return the events in a balancer's log."""
+        text = (self.folder / f'edge-{number}.log').read_text()
+        return [parse_line(line) for line in text.splitlines()]
+
+    def send(self, host: str, packet: bytes) -> None:
+        """Send a packet through a balancer."""
+        self.caller.sendto(packet, (host, self.packet_port))
+
+    async def is_ready(self, host: str) -> bool:
+        """Ask a balancer whether it is ready."""
+        try:
+            reader, writer = await asyncio.open_connection(
+                host,
+                self.packet_port,
+            )
+        except OSError:
+            return False
+        writer.write(b'GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n')
+        try:
+            line = await asyncio.wait_for(reader.readline(), 1)
+        except (TimeoutError, OSError):
+            return False
+        finally:
+            writer.close()
+        return b' 200 ' in line
+
+
+@contextmanager
+def open_site(folder: Path) -> Iterator[Site]:
+    """Yield a site, and end everything that it started, by its id."""
+    site = Site(folder)
+    try:
+        yield site
+    finally:
+        for process in site.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        site.caller.close()
+
+
+def get_host(number: int) -> str:
+    """Return the address of a balancer."""
+    return f'127.0.0.{10 + number}'
+
+
+def get_cookie(datagram: bytes) -> int:
+    """Return the cookie of a datagram that reached an endpoint."""
+    return int(unpack_from('<I', datagram, _COOKIE_AT)[0])
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that nothing uses at the moment."""
+    sockets = [socket.socket() for _ in range(count)]
+    for bound in sockets:
+        bound.bind(('127.0.0.1', 0))
+    ports = [bound.getsockname()[1] for bound in sockets]
+    for bound in sockets:
+        bound.close()
+    return ports
+
+
+async def wait_until(is_met: Callable[[], Any], what: str) -> None:
+    """Wait until a condition holds.
+
+    Raises
+    ------
+    AssertionError
+        If it does not hold in time.
+    """
+    deadline = time.monotonic() + WAIT_SECONDS
+    while time.monotonic() < deadline:
+        outcome = is_met()
+        if asyncio.iscoroutine(outcome):
+            outcome = await outcome
+        if outcome:
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError(f'not within {WAIT_SECONDS} s: {what}')
+
+
+def collect(site: Site) -> list[tuple[int, int, bytes]]:
+    """Return endpoint, cookie and datagram of all that was received."""
+    return [
+        (number, get_cookie(datagram), datagram)
+        for number, endpoint in site.endpoints.items()
+        for datagram in endpoint.received
+    ]
+
+
+async def open_flow(site: Site, host: str, flow: int) -> tuple[int, int]:
+    """Open a flow and return its endpoint's number and its cookie."""
+    for endpoint in site.endpoints.values():
+        endpoint.received.clear()
+    site.send(host, build_packet(SYN, flow))
+    await wait_until(lambda: collect(site), 'an opening packet')
+    received = collect(site)
+    assert len(received) == 1, received
+    return received[0][:2]
--- /dev/null
+++ b/testbed/store_proxy.py
@@ -0,0 +1,91 @@
+"""Loopback proxy before the store, one for each balancer, with faults."""
+
+import asyncio
+from enum import StrEnum
+from typing import Any
+
+
+class ProxyMode(StrEnum):
+    """What the proxy does with connections."""
+
+    PASS = 'pass'
+    DELAY = 'delay'
+    SILENT = 'silent'
+    LOSE_RESPONSES = 'lose_responses'
+    RESET = 'reset'
+
+
+#: Delay of each chunk, below the time limit of a read.
+DELAY_SECONDS = 0.3
+
+
+class StoreProxy:
+    """A proxy whose mode may change at any time.
+
+    Parameters
+    ----------
+    store_port : int
+        Port of the store on loopback.
+    """
+
+    def __init__(self, store_port: int) -> None:
+        """Pass everything until told otherwise."""
+        self.mode = ProxyMode.PASS
+        self._store_port = store_port
+        self._writers: set[Any] = set()
+
+    def change_mode(self, mode: ProxyMode) -> None:
+        """Change the mode; a reset ends the open connections at once."""
+        self.mode = mode
+        if mode is ProxyMode.RESET:
+            for writer in tuple(self._writers):
+                writer.transport.abort()
+
+    async def serve(self, port: int) -> None:
+        """Listen on loopback."""
+        await asyncio.start_server(self._accept, '127.0.0.1', port)
+
+    async def _accept(self, reader: Any, writer: Any) -> None:
+        if self.mode is ProxyMode.RESET:
+            writer.transport.abort()
+            return
+        store_reader, store_writer = await asyncio.open_connection(
+            '127.0.0.1',
+            self._store_port,
+        )
+        self._writers |= {writer, store_writer}
+        try:
+            await asyncio.gather(
+                self._pump(reader, store_writer, is_response=False),
+                self._pump(store_reader, writer, is_response=True),
+            )
+        except asyncio.CancelledError:
+            # The loop ends; whoever waits for the task expects no error.
+            writer.transport.abort()
+        finally:
+            self._writers -= {writer, store_writer}
+
+    async def _pump(
+        self,
+        reader: Any,
+        writer: Any,
+        *,
+        is_response: bool,
+    ) -> None:
+        try:
+            while chunk := await reader.read(65536):
+                if self.mode is ProxyMode.DELAY:
+                    await asyncio.sleep(DELAY_SECONDS)
+                if self._drops(is_response=is_response):
+                    continue
+                writer.write(chunk)
+        except OSError:
+            # One end reset the connection, which ends the other as well.
+            writer.transport.abort()
+            return
+        writer.close()
+
+    def _drops(self, *, is_response: bool) -> bool:
+        if self.mode is ProxyMode.SILENT:
+            return True
+        return is_response and self.mode is ProxyMode.LOSE_RESPONSES
--- a/testbed/tests/test_edge_processes.py
+++ b/testbed/tests/test_edge_processes.py
@@ -1,223 +1,23 @@
 """Edge balancers as real processes against the project's own stand-ins."""
 
 import asyncio
-import json
 import os
 import signal
-import socket
 import subprocess
 import sys
-import time
-from contextlib import contextmanager
-from pathlib import Path
-from struct import pack, unpack_from
 
-import pytest
-
-from balsamshed.logs.lines import parse_line
-from testbed.metadata_store import MetadataStore, put_object, serve_store
-
-CALLER = '127.0.0.1'
-SERVICE = '198.51.100.1'
-PORT = 443
-SYN, ACK, RST = 32, 128, 2
-WAIT_SECONDS = 8
-
-
-def build_packet(flags, flow, echo=0, data=b'', acknowledged=0):
-    """Return a caller's packet."""
-    return (
-        pack('<IB5xI', 1, flags, echo)
-        + socket.inet_aton(SERVICE)[::-1]
-        + pack('<HH', flow, PORT)
-        + socket.inet_aton(CALLER)[::-1]
-        + pack('<IIH', 5, acknowledged, len(data))
-        + data
-    )
-
-
-class Endpoint(asyncio.DatagramProtocol):
-    """An endpoint that notes what reaches it."""
-
-    def __init__(self):
-        self.received = []
-
-    def datagram_received(self, data, addr):
-        """Note a datagram."""
-        self.received.append(data)
-
-
-class Site:
-    """Store, endpoints and balancers of one test."""
-
-    def __init__(self, folder):
-        self.folder = folder
-        self.store = MetadataStore(page_size=2)
-        self.endpoints = {}
-        self.processes = {}
-        self.settings = {}
-        self.servers = []
-        self.ports = iter(find_ports(40))
-        self.caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.packet_port = next(self.ports)
-        self.peer_port = next(self.ports)
-        self.store_port = next(self.ports)
-        self.metrics_port = next(self.ports)
-
-    async def start_store(self):
-        """Start the store, with a configuration."""
-        loop = asyncio.get_running_loop()
-        self.configure(1)
-        server = await serve_store(
-            self.store, loop, '127.0.0.1', self.store_port
-        )
-        self.servers.append(server)
-
-    def configure(self, version):
-        """Write a configuration with one route."""
-        route = {
-            'name': 'r1',
-            'host': SERVICE,
-            'pathPrefix': f'/{PORT}/',
-            'service': 'web',
-            'timeoutMs': 1000,
-        }
-        spec = {
-            'version': version,
-            'routes': [route],
-            'services': [{'name': 'web'}],
-        }
-        put_object(self.store, 'config', 'main', spec)
-
-    async def start_endpoint(self, number):
-        """Start an endpoint and write its entry."""
-        port = next(self.ports)
-        _, endpoint = await asyncio.get_running_loop().create_datagram_endpoint(
-            Endpoint, local_addr=('127.0.0.1', port)
-        )
-        self.endpoints[number] = endpoint
-        endpoint.port = port
-        self.write_entry(number)
-
-    def write_entry(self, number, state='ready'):
-        """Write an endpoint's entry."""
-        spec = {
-            'service': 'web',
-            'address': f'127.0.0.1:{self.endpoints[number].port}',
-            'zone': 'a',
-            'version': 'v1',
-            'maxConcurrency': 2,
-            'state': state,
-            'warmupLeftMs': 0,
-            'sequence': 1,
-            'born': 1700000000000,
-        }
-        put_object(self.store, 'servers', f'i-{number:x}', spec)
-
-    def start_balancer(self, number):
-        """Start a balancer at an address of its own."""
-        host = f'127.0.0.{10 + number}'
-        settings = {
-            'name': f'edge-{number}',
-            'data_centre': 'a',
-            'packets': f'{host}:{self.packet_port}',
-            'ready': f'{host}:{self.packet_port}',
-            'store': f'127.0.0.1:{self.store_port}',
-            'metrics': f'{host}:{self.metrics_port}',
-            'peer_ports': [self.peer_port, self.peer_port],
-            'seeds': [f'127.0.0.11:{self.peer_port}'],
-            'flow_lifetime_seconds': 60,
-            'grace_seconds': 6,
-        }
-        file = self.folder / f'edge-{number}.json'
-        file.write_text(json.dumps(settings))
-        with (self.folder / f'edge-{number}.log').open('ab') as log:
-            process = subprocess.Popen(
-                [sys.executable, '-m', 'balsamshed', 'edge'],
-                env={**os.environ, 'BALSAMSHED_BOOT': str(file)},
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
-        self.processes[number] = process
-        return host
-
-    def read_events(self, number):
-        """Return the events in a balancer's log."""
-        text = (self.folder / f'edge-{number}.log').read_text()
-        return [parse_line(line) for line in text.splitlines()]
-
-    def send(self, host, packet):
-        """Send a packet through a balancer."""
-        self.caller.sendto(packet, (host, self.packet_port))
-
-    async def is_ready(self, host):
-        """Ask a balancer whether it is ready."""
-        try:
-            reader, writer = await asyncio.open_connection(
-                host, self.packet_port
-            )
-        except OSError:
-            return False
-        writer.write(b'GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n')
-        line = await asyncio.wait_for(reader.readline(), 2)
-        writer.close()
-        return b' 200 ' in line
-
-
-@contextmanager
-def open_site(folder):
-    """Yield a site, and end everything that it started."""
-    site = Site(Path(folder))
-    try:
-        yield site
-    finally:
-        for process in site.processes.values():
-            process.kill()
-            process.wait()
-        site.caller.close()
-
-
-def find_ports(count):
-    """Return ports that nothing uses at the moment."""
-    sockets = [socket.socket() for _ in range(count)]
-    for bound in sockets:
-        bound.bind(('127.0.0.1', 0))
-    ports = [bound.getsockname()[1] for bound in sockets]
-    for bound in sockets:
-        bound.close()
-    return ports
-
-
-async def wait_until(is_met, what):
-    """Wait until a condition holds."""
-    deadline = time.monotonic() + WAIT_SECONDS
-    while time.monotonic() < deadline:
-        outcome = is_met()
-        if asyncio.iscoroutine(outcome):
-            outcome = await outcome
-        if outcome:
-            return
-        await asyncio.sleep(0.05)
-    pytest.fail(f'not within {WAIT_SECONDS} s: {what}')
-
-
-def collect(site):
-    """Return endpoint number and cookie of the last datagrams."""
-    return [
-        (number, unpack_from('<I', datagram, 18)[0], datagram)
-        for number, endpoint in site.endpoints.items()
-        for datagram in endpoint.received
-    ]
-
-
-async def open_flow(site, host, flow):
-    """Open a flow and return its endpoint's number and its cookie."""
-    for endpoint in site.endpoints.values():
-        endpoint.received.clear()
-    site.send(host, build_packet(SYN, flow))
-    await wait_until(lambda: collect(site), 'an opening packet')
-    ((number, cookie, _),) = collect(site)
-    return number, cookie
+from testbed.edge_site import (
+    ACK,
+    CALLER,
+    PORT,
+    SERVICE,
+    SYN,
+    build_packet,
+    collect,
+    open_flow,
+    open_site,
+    wait_until,
+)
 
 
 async def check_whole_path(site):
