--- a/balsamshed/commands/local.py
+++ b/balsamshed/commands/local.py
@@ -38,11 +38,7 @@
     settings = read_settings(file)
     if isinstance(settings, SettingsRejection):
         return show_findings(settings)
-    if output == 'json':
-        _write(format_json({'file': file, 'name': settings.name}))
-    else:
-        _write(f'{file}: settings of balancer {settings.name}, no findings')
-    return ExitStatus.DONE
+    return _show_accepted(file, settings.name, output)
 
 
 def check_edge_settings(file: str, *, output: Output = 'table') -> int:
@@ -68,11 +64,7 @@
     settings = parse_edge_settings(text)
     if not isinstance(settings, EdgeSettings):
         return show_findings(SettingsRejection(file, settings))
-    if output == 'json':
-        _write(format_json({'file': file, 'name': settings.name}))
-    else:
-        _write(f'{file}: settings of edge {settings.name}, no findings')
-    return ExitStatus.DONE
+    return _show_accepted(file, settings.name, output)
 
 
 def show_defaults(*, output: Output = 'table') -> int:
@@ -141,5 +133,13 @@
     return ExitStatus.DONE
 
 
+def _show_accepted(file: str, name: str, output: Output) -> int:
+    if output == 'json':
+        _write(format_json({'file': file, 'name': name}))
+    else:
+        _write(f'{file}: settings of balancer {name}, no findings')
+    return ExitStatus.DONE
+
+
 def _write(line: str) -> None:
     sys.stdout.write(f'{line}\n')
--- a/balsamshed/edge/tests/builders.py
+++ b/balsamshed/edge/tests/builders.py
@@ -5,7 +5,6 @@
 from balsamshed.endpoints.endpoint import Endpoint
 from balsamshed.routes.table import (
     Route,
-    RouteTable,
     ServiceShare,
     create_table,
     join_listener,
@@ -79,6 +78,3 @@
         **changes,
     }
     return create_edge(**fields)
-
-
-EMPTY_TABLE = RouteTable()
--- a/balsamshed/endpoints/endpoint.py
+++ b/balsamshed/endpoints/endpoint.py
@@ -1,6 +1,6 @@
 """An endpoint of a service, as it reports itself."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 #: Width of the cookie that names an endpoint in a packet.
@@ -39,6 +39,8 @@
         How much longer it expected to be slow when it wrote the report.
     sequence : int
         Number of the report, counted from the program's start.
+    cookie : int
+        Names the endpoint in packets; derived from its identity.
     """
 
     instance: int
@@ -51,11 +53,11 @@
     is_draining: bool = False
     warm_up_seconds: float = 0
     sequence: int = 0
+    cookie: int = field(init=False)
 
-    @property
-    def cookie(self) -> int:
-        """Cookie that names the endpoint in packets."""
-        return derive_cookie(self.instance)
+    def __post_init__(self) -> None:
+        """Derive the cookie once: each placement compares many endpoints."""
+        object.__setattr__(self, 'cookie', derive_cookie(self.instance))
 
 
 def derive_cookie(instance: int) -> int:
--- a/balsamshed/peers/roster.py
+++ b/balsamshed/peers/roster.py
@@ -16,8 +16,7 @@
 #: Addresses without a report are tried for this long before they are
 #: forgotten; a cut-off data centre comes back within it.
 ADDRESS_LIFETIME_SECONDS: Final = 60.0
-#: Peers that one round of reports goes to at most. With reports of 40 bytes
-#: this is 4.8 KB/s, the target's budget.
+#: Peers that one round of reports goes to at most: 120 reports a second.
 MOST_TARGETS: Final = 12
 #: Addresses that a report passes on.
 PASSED_ON: Final = 3
