Stay ready when every endpoint leaves; bound the requests in flight

Cause: readiness fell with the last endpoint that took new flows, although open flows still needed the balancer; a flood of openings could fill the memory for two seconds. Found by reading; both tests failed first.

--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -121,5 +121,11 @@
 
 
 def accepts_traffic(edge: Edge) -> bool:
-    """Tell whether the routers should send packets to this balancer."""
-    return edge.leaving_since is None and is_ready(edge.steering)
+    """Tell whether the routers should send packets to this balancer.
+
+    A balancer that was ready stays so when every endpoint leaves: open flows
+    still need it.
+    """
+    if edge.leaving_since is not None:
+        return False
+    return edge.was_ready or is_ready(edge.steering)
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -51,6 +51,15 @@
     assert accepts_traffic(edge)
 
 
+def test_balancer_stays_ready_when_every_endpoint_leaves():
+    """Guards against open flows that end because nobody takes new ones."""
+    edge = build_edge()
+    read_store(edge, build_view(1, build_endpoint(1)), build_table(1), 0)
+    draining = build_endpoint(1, is_draining=True)
+    read_store(edge, build_view(2, draining), build_table(1), 1)
+    assert accepts_traffic(edge)
+
+
 def test_store_without_endpoints_makes_nobody_ready():
     """Guards against callers refused by a balancer that started too early."""
     edge = build_edge()
--- a/balsamshed/steering/requests.py
+++ b/balsamshed/steering/requests.py
@@ -15,6 +15,8 @@
 #: Requests that started longer ago are not counted any more: the caller gave
 #: up, or its packets reach another balancer.
 REQUEST_LIFETIME_SECONDS: Final = 2.0
+#: Requests that are counted at most, 10 MB; the oldest are forgotten.
+MOST_PENDING: Final = 50_000
 
 _SEQUENCE_MASK: Final = 0xFFFFFFFF
 _HALF_SEQUENCE: Final = 1 << 31
@@ -228,6 +230,8 @@
     flow_key: bytes,
     request: PendingRequest,
 ) -> None:
+    if len(table.pending) >= MOST_PENDING:
+        end_request(table, next(iter(table.pending)))
     table.pending[flow_key] = request
     counts = table.counts
     counts[request.cookie] = counts.get(request.cookie, 0) + 1
--- a/balsamshed/steering/tests/test_requests.py
+++ b/balsamshed/steering/tests/test_requests.py
@@ -5,6 +5,7 @@
 from balsamshed.edge.tests.builders import build_packet
 from balsamshed.steering.packets import PacketKind
 from balsamshed.steering.requests import (
+    MOST_PENDING,
     REQUEST_LIFETIME_SECONDS,
     RequestTable,
     expire_requests,
@@ -89,6 +90,16 @@
     assert table.counts == {COOKIE: 1}
 
 
+def test_flood_of_openings_is_bounded():
+    """Guards against memory that grows with a flood of opening packets."""
+    table = RequestTable()
+    for number in range(MOST_PENDING + 10):
+        start_opening(table, number.to_bytes(12, 'big'), COOKIE, 0)
+    assert len(table.pending) == MOST_PENDING
+    assert table.counts == {COOKIE: MOST_PENDING}
+    assert (0).to_bytes(12, 'big') not in table.pending
+
+
 def test_old_requests_are_forgotten():
     """Guards against load that grows by flows that moved elsewhere."""
     table = RequestTable()
