Pass on only endpoints that the store lists

Cause: a balancer that kept endpoints after an outage passed them on as present. A peer that adopted the view at the store's current revision would have kept them until the next change, for openings too. Found by reading; the test failed first.

--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -135,3 +135,14 @@
     assert handle_read_failed(edge, Source.ENDPOINTS, 'status_503', 5.5) == []
     read_store(edge, build_view(9), build_table(1), 6)
     assert list_open_endpoints(edge.steering.directory, 'web') == (endpoint,)
+
+
+def test_kept_endpoint_is_not_passed_on_as_present():
+    """Guards against a peer that keeps an endpoint which is gone for good."""
+    edge = build_edge()
+    first, second = build_endpoint(1), build_endpoint(2)
+    read_store(edge, build_view(1, first, second), build_table(1), 0)
+    handle_read_failed(edge, Source.ENDPOINTS, 'status_503', 5)
+    read_store(edge, build_view(9, second), build_table(1), 6)
+    assert set(edge.steering.directory.endpoints.values()) == {first, second}
+    assert get_view(edge)[1] == build_view(9, second)
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -133,8 +133,17 @@
 
 
 def get_view(edge: Edge) -> tuple[RouteTable, EndpointView]:
-    """Return what peers may fetch: routes, and endpoints at a revision."""
-    endpoints = tuple(edge.steering.directory.endpoints.values())
+    """Return what peers may fetch: routes, and endpoints at a revision.
+
+    Endpoints that the store does not list are left out: each balancer decides
+    itself how long it keeps them.
+    """
+    directory = edge.steering.directory
+    endpoints = tuple(
+        endpoint
+        for instance, endpoint in directory.endpoints.items()
+        if instance not in directory.missing_since
+    )
     return edge.steering.routes, EndpointView(edge.reads.revision, endpoints)
 
 
--- a/balsamshed/placement/in_flight.py
+++ b/balsamshed/placement/in_flight.py
@@ -9,8 +9,8 @@
 
 from balsamshed.endpoints.endpoint import Endpoint
 
-#: A request to another data centre costs a round trip of about 2 ms and
-#: traffic between data centres, about as much as one request that waits.
+#: A flow to another data centre ends when that is cut off, and costs a round
+#: trip of about 2 ms a request and traffic between data centres.
 REMOTE_PENALTY_REQUESTS: Final = 2.0
 #: An endpoint that warms up takes longer for each request.
 WARM_UP_PENALTY_REQUESTS: Final = 1.0
