Keep open flows on services that lose their weight or their route

Cause: a service of weight 0 was left out of its route, and a route that moved to another service forgot the former one, so packets of open flows were dropped.

--- a/balsamshed/platform/entries.py
+++ b/balsamshed/platform/entries.py
@@ -153,7 +153,6 @@
         if isinstance(backend, Mapping)
         and _is_text(backend.get('service'))
         and _is_count(backend.get('weight'))
-        and backend['weight'] > 0
     )
 
 
--- a/balsamshed/routes/table.py
+++ b/balsamshed/routes/table.py
@@ -15,7 +15,8 @@
     service : str
         Name of the service.
     weight : int
-        Relative to the weights of the route's other services.
+        Relative to the weights of the route's other services; a service of
+        weight 0 gets no new flows and keeps the open ones.
     """
 
     service: str
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -68,6 +68,9 @@
         Routes in force.
     removed_listeners : set of int
         Listeners of earlier versions that have no route any more.
+    former_services : dict of int to set of str
+        Services that earlier versions gave to a listener: its open flows
+        stay where they are.
     observations : deque of Observation
         The last openings and answers that callers' packets showed.
     """
@@ -78,6 +81,7 @@
     draw: Callable[[int], int]
     routes: RouteTable = field(default_factory=RouteTable)
     removed_listeners: set[int] = field(default_factory=set)
+    former_services: dict[int, set[str]] = field(default_factory=dict)
     observations: deque[Observation] = field(
         default_factory=lambda: deque(maxlen=KEPT_OBSERVATIONS),
     )
@@ -152,6 +156,8 @@
     if packet.kind is PacketKind.OPENING:
         return _open_flow(steering, packet, route, now)
     endpoint = _find_on_route(steering, route, packet.cookie)
+    if endpoint is None:
+        endpoint = _find_on_former_route(steering, packet)
     if endpoint is None:
         return _UNKNOWN_COOKIE
     _observe(steering, packet, now)
@@ -177,11 +183,20 @@
     if choose_newer(former, table) is former:
         return False
     steering.routes = table
+    _remember_services(steering, former)
     steering.removed_listeners.update(former.routes)
     steering.removed_listeners.difference_update(table.routes)
     return True
 
 
+def _remember_services(steering: Steering, former: RouteTable) -> None:
+    for listener, route in former.routes.items():
+        current = steering.routes.routes.get(listener)
+        if current is not None and current.shares != route.shares:
+            known = steering.former_services.setdefault(listener, set())
+            known.update(share.service for share in route.shares)
+
+
 def _judge_unrouted(
     steering: Steering,
     packet: FlowPacket,
@@ -214,12 +229,12 @@
         elif packet.attempt:
             avoided = former.cookie
             note_unanswered(steering.board, avoided, now)
+    service = _choose_service(steering, route)
+    if service is None:
+        return _NO_ENDPOINT
     endpoint = choose_least_busy(
         steering.board,
-        list_open_endpoints(
-            steering.directory,
-            _choose_service(steering, route),
-        ),
+        list_open_endpoints(steering.directory, service),
         avoided,
         steering.draw,
         now,
@@ -231,16 +246,17 @@
     return ForwardFlow(endpoint, cookie)
 
 
-def _choose_service(steering: Steering, route: Route) -> str:
-    shares = route.shares
-    if len(shares) == 1:
-        return shares[0].service
-    position = steering.draw(sum(share.weight for share in shares))
-    for share in shares:
+def _choose_service(steering: Steering, route: Route) -> str | None:
+    """Return the service of a new flow; None if no service has a weight."""
+    total = sum(share.weight for share in route.shares)
+    if not total:
+        return None
+    position = steering.draw(total)
+    for share in route.shares:
         position -= share.weight
         if position < 0:
-            return share.service
-    return shares[-1].service
+            break
+    return share.service
 
 
 def _find_on_route(
@@ -255,6 +271,17 @@
     return None
 
 
+def _find_on_former_route(
+    steering: Steering,
+    packet: FlowPacket,
+) -> Endpoint | None:
+    for service in steering.former_services.get(packet.listener, ()):
+        endpoint = find_endpoint(steering.directory, service, packet.cookie)
+        if endpoint is not None:
+            return endpoint
+    return None
+
+
 def _observe(steering: Steering, packet: FlowPacket, now: float) -> None:
     cookie = packet.cookie
     observation = observe_packet(steering.requests, packet, cookie, now)
--- a/balsamshed/steering/tests/test_decisions.py
+++ b/balsamshed/steering/tests/test_decisions.py
@@ -1,6 +1,8 @@
 """Tests of the decisions about packets."""
 
 from balsamshed.edge.tests.builders import (
+    ADDRESS,
+    PORT,
     build_endpoint,
     build_packet,
     build_table,
@@ -10,6 +12,7 @@
 from balsamshed.endpoints.directory import apply_view
 from balsamshed.peers.roster import Roster
 from balsamshed.placement.in_flight import is_suspected
+from balsamshed.routes.table import Route, ServiceShare, create_table
 from balsamshed.steering.decisions import (
     create_steering,
     is_ready,
@@ -118,6 +121,41 @@
     assert steer_packet(steering, data, 0) == DropPacket('unknown_cookie')
 
 
+def build_weighted_table(version, **weights):
+    shares = tuple(
+        ServiceShare(service, weight) for service, weight in weights.items()
+    )
+    route = Route('r', ADDRESS, PORT, shares, 1)
+    return create_table(version, [route], weights)
+
+
+def test_open_flow_outlives_the_weight_of_its_service():
+    """Guards against open flows that a change of the weights cuts."""
+    other = build_endpoint(3, service='next')
+    table = build_weighted_table(1, web=0, next=1)
+    steering = build_steering(FIRST, other, table=table)
+    data = build_packet(PacketKind.DATA, cookie=FIRST.cookie)
+    assert steer_packet(steering, data, 0).endpoint == FIRST
+    assert steer_packet(steering, build_packet(), 0).endpoint == other
+
+
+def test_open_flow_outlives_the_move_of_its_route():
+    """Guards against open flows that a new service of the route cuts."""
+    other = build_endpoint(3, service='next')
+    steering = build_steering(FIRST, other)
+    replace_routes(steering, build_table(2, p443='next'))
+    data = build_packet(PacketKind.DATA, cookie=FIRST.cookie)
+    assert steer_packet(steering, data, 0).endpoint == FIRST
+    assert steer_packet(steering, build_packet(), 0).endpoint == other
+
+
+def test_route_whose_weights_are_all_zero_is_refused():
+    """Guards against a failure on a route that is switched off."""
+    table = build_weighted_table(1, web=0)
+    steering = build_steering(FIRST, table=table)
+    assert steer_packet(steering, build_packet(), 0) == ResetFlow('no_endpoint')
+
+
 def test_cookie_of_another_service_is_not_followed():
     """Guards against packets of one service that reach another one."""
     other = build_endpoint(3, service='files')
