Apply settings that change while a balancer runs

Cause: SIGHUP was ignored, and a store at another address needed a restart. Change: the file is looked at after SIGHUP and every 2 s; the store's address, seeds and times take effect, the rest is logged as needing a restart, and a file with findings changes nothing.

--- a/balsamshed/front_ends/edge_process.py
+++ b/balsamshed/front_ends/edge_process.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 from asyncio import AbstractEventLoop
+from collections.abc import Callable
 from functools import partial
 from typing import Final
 
@@ -26,6 +27,7 @@
 )
 from balsamshed.front_ends.edge_packets import open_packet_socket
 from balsamshed.front_ends.edge_peers import open_peer_port
+from balsamshed.front_ends.edge_settings import reload_settings
 from balsamshed.front_ends.edge_store import read_store
 from balsamshed.front_ends.http_port import HttpAnswer
 from balsamshed.front_ends.http_session import HttpSession
@@ -34,6 +36,8 @@
 from balsamshed.peers.roster import add_addresses
 from balsamshed.settings.edge import EdgeSettings
 
+#: Time between looks at the settings file.
+SETTINGS_SECONDS: Final = 2.0
 #: Path of the metrics.
 METRICS_PATH: Final = '/metrics'
 
@@ -44,6 +48,7 @@
     settings: EdgeSettings,
     wire: WireFormat,
     loop: AbstractEventLoop,
+    read_change: Callable[[], str | None],
 ) -> None:
     """Run an edge balancer until SIGTERM or SIGINT has been handled.
 
@@ -55,6 +60,8 @@
         Encodings of the platform that it runs on.
     loop : AbstractEventLoop
         Event loop, not running yet.
+    read_change : callable
+        Returns the text of the settings file if it has changed, else None.
     """
     process = _create_process(settings, wire, loop)
     write = create_stream_writer(sys.stdout.fileno())
@@ -64,12 +71,17 @@
     listen(process, settings.ready, partial(_answer_readiness, process))
     listen(process, settings.metrics, partial(_answer_metrics, process))
 
+    def check_settings() -> None:
+        # The file may also change without a signal.
+        reload_settings(process, read_change)
+        loop.call_later(SETTINGS_SECONDS, check_settings)
+
     def tick() -> None:
         perform(process, handle_tick(process.edge, read_clock()))
         write_lines(process.lines, write)
         loop.call_later(TICK_SECONDS, tick)
 
-    _install_signals(process)
+    _install_signals(process, partial(reload_settings, process, read_change))
     log_event(
         process,
         'started',
@@ -80,6 +92,7 @@
         },
     )
     loop.call_soon(tick)
+    loop.call_later(SETTINGS_SECONDS, check_settings)
     loop.run_forever()
     log_event(process, 'stopped', lambda: dict(process.counts))
     write_lines(process.lines, write)
@@ -115,18 +128,16 @@
     return process
 
 
-def _install_signals(process: EdgeProcess) -> None:
+def _install_signals(
+    process: EdgeProcess,
+    reload: Callable[[], None],
+) -> None:
     def request_stop() -> None:
         perform(process, handle_stop(process.edge, read_clock()))
 
-    def note_reload() -> None:
-        # The settings name addresses only, and those of a running process
-        # cannot change; routes and endpoints come from the store.
-        log_event(process, 'reload_ignored', dict)
-
     for number in (signal.SIGTERM, signal.SIGINT):
         process.loop.add_signal_handler(number, request_stop)
-    process.loop.add_signal_handler(signal.SIGHUP, note_reload)
+    process.loop.add_signal_handler(signal.SIGHUP, reload)
 
 
 def _answer_readiness(process: EdgeProcess, target: str) -> HttpAnswer:
--- /dev/null
+++ b/balsamshed/front_ends/edge_settings.py
@@ -0,0 +1,72 @@
+"""Changes of an edge balancer's settings while it runs."""
+
+from collections.abc import Callable, Mapping
+from typing import Final
+
+from balsamshed.findings import format_findings
+from balsamshed.front_ends.edge_context import (
+    EdgeProcess,
+    log_event,
+    read_clock,
+)
+from balsamshed.peers.roster import add_addresses
+from balsamshed.settings.edge import EdgeSettings, parse_edge_settings
+
+#: Settings that take effect at once; the others need a restart.
+_APPLIED: Final = frozenset(
+    ('store', 'seeds', 'flow_lifetime_seconds', 'grace_seconds'),
+)
+
+
+def reload_settings(
+    process: EdgeProcess,
+    read_change: Callable[[], str | None],
+) -> None:
+    """Apply the settings file if it has changed.
+
+    A file with findings changes nothing.
+
+    Parameters
+    ----------
+    process : EdgeProcess
+        Changed in place.
+    read_change : callable
+        Returns the text of a changed file, or None.
+    """
+    text = read_change()
+    if text is None:
+        return
+    settings = parse_edge_settings(text)
+    if not isinstance(settings, EdgeSettings):
+        report = format_findings('settings', settings)
+        log_event(process, 'reload_rejected', lambda: {'findings': report})
+        return
+    changed = _list_changes(process.settings, settings)
+    process.settings = settings
+    process.store.change_server(settings.store)
+    edge = process.edge
+    edge.grace_seconds = settings.grace_seconds
+    edge.steering.directory.departed_lifetime_seconds = (
+        settings.flow_lifetime_seconds
+    )
+    hosts = (seed.host for seed in settings.seeds)
+    add_addresses(edge.roster, hosts, read_clock())
+    log_event(process, 'reloaded', lambda: _describe(changed))
+
+
+def _list_changes(
+    former: EdgeSettings,
+    current: EdgeSettings,
+) -> frozenset[str]:
+    return frozenset(
+        name
+        for name in EdgeSettings.__dataclass_fields__
+        if getattr(former, name) != getattr(current, name)
+    )
+
+
+def _describe(changed: frozenset[str]) -> Mapping[str, object]:
+    return {
+        'applied': ','.join(sorted(changed & _APPLIED)),
+        'needs_restart': ','.join(sorted(changed - _APPLIED)),
+    }
--- a/balsamshed/front_ends/http_session.py
+++ b/balsamshed/front_ends/http_session.py
@@ -109,6 +109,13 @@
         self._close()
         self._settle(HttpFailure(reason))
 
+    def change_server(self, server: SocketAddress) -> None:
+        """Use another server from the next request on."""
+        if server == self._server:
+            return
+        self._server = server
+        self.fail('server_changed')
+
     def close(self) -> None:
         """Close the connection; nothing is in progress."""
         self._close()
--- a/balsamshed/platform/program.py
+++ b/balsamshed/platform/program.py
@@ -8,6 +8,7 @@
 from balsamshed.findings import format_findings
 from balsamshed.front_ends.loop import open_loop
 from balsamshed.settings.edge import EdgeSettings, parse_edge_settings
+from balsamshed.settings.watching import create_change_reader
 
 #: Holds the path of the settings file, filled in from our template.
 SETTINGS_VARIABLE: Final = 'BALSAMSHED_BOOT'
@@ -25,6 +26,7 @@
     # Nothing that is loaded at the start becomes garbage.
     gc.disable()
     path = os.environ.get(SETTINGS_VARIABLE, '')
+    read_change = create_change_reader(path)
     try:
         # ``pathlib`` would add a tenth to the time of the start.
         with open(path, encoding='utf-8') as settings_file:
@@ -43,5 +45,5 @@
 
         gc.freeze()
         gc.enable()
-        run_edge(settings, create_wire_format(), loop)
+        run_edge(settings, create_wire_format(), loop, read_change)
     return 0
--- a/testbed/tests/test_edge_processes.py
+++ b/testbed/tests/test_edge_processes.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 
+import pytest
+
 from testbed.edge_site import (
     ACK,
     CALLER,
@@ -186,3 +188,36 @@
     """Guards against a failed request that nobody can explain."""
     with open_site(tmp_path) as site:
         asyncio.run(check_explanations(site))
+
+
+async def check_reload(site, sends_signal):
+    await site.start_store()
+    await site.start_endpoint(1)
+    # The settings name a store that nobody serves.
+    real_port, site.store_port = site.store_port, next(site.ports)
+    host = site.start_balancer(1)
+
+    def list_names():
+        return [event['event'] for event in site.read_events(1)]
+
+    await wait_until(lambda: 'store_lost' in list_names(), 'no store')
+    file = site.folder / 'edge-1.json'
+    text = file.read_text()
+    file.write_text('{"name": 3}')
+    if sends_signal:
+        site.processes[1].send_signal(signal.SIGHUP)
+    await wait_until(lambda: 'reload_rejected' in list_names(), 'findings')
+    file.write_text(text.replace(str(site.store_port), str(real_port)))
+    if sends_signal:
+        site.processes[1].send_signal(signal.SIGHUP)
+    await wait_until(lambda: site.is_ready(host), 'ready with another store')
+    events = {event['event']: event for event in site.read_events(1)}
+    assert events['reloaded']['applied'] == 'store'
+    assert '$.store' in events['reload_rejected']['findings']
+
+
+@pytest.mark.parametrize('sends_signal', [True, False])
+def test_changed_settings_are_applied(tmp_path, sends_signal):
+    """Guards against a balancer that needs a restart to find its store."""
+    with open_site(tmp_path) as site:
+        asyncio.run(check_reload(site, sends_signal))
