Log each record that comes into force, also many in one second

Cause of "version 12 in force: not within 10.0 s", seen once in test_stale_reads_bring_nothing_back and reproduced 3 of 3 times by changes in quick succession: an event name had five lines a second, so the start of a node, or a series of changes, left out the line of a version that was in force. Operators lost the same lines. Ruled out: the watch and the list (the balancers had the version, and the watches returned it). Change: events that change what a process believes have 200 lines a second.

--- a/balsamshed/logs/limits.py
+++ b/balsamshed/logs/limits.py
@@ -7,6 +7,23 @@
 LINES_PER_INTERVAL: Final = 5
 #: Length of the interval in seconds.
 INTERVAL_SECONDS: Final = 1.0
+#: Lines of one event name that changes what the process believes. Nothing
+#: else shows such a change afterwards, and traffic does not cause it.
+STATE_LINES_PER_INTERVAL: Final = 200
+#: Names of those events.
+STATE_EVENTS: Final = frozenset(
+    (
+        'endpoint_added',
+        'endpoint_draining',
+        'endpoint_ready',
+        'endpoint_removed',
+        'endpoint_restarted',
+        'endpoint_updated',
+        'record_in_force',
+        'record_rejected',
+        'routes_changed',
+    ),
+)
 
 
 @dataclass(slots=True)
@@ -38,12 +55,15 @@
         Length of the interval.
     lines : int
         Lines of one event name in one interval.
+    state_lines : int
+        The same for `STATE_EVENTS`.
     windows : dict of str to EventWindow
         Keyed by event name.
     """
 
     interval_seconds: float = INTERVAL_SECONDS
     lines: int = LINES_PER_INTERVAL
+    state_lines: int = STATE_LINES_PER_INTERVAL
     windows: dict[str, EventWindow] = field(default_factory=dict)
 
 
@@ -72,7 +92,8 @@
     elif now - window.start >= limiter.interval_seconds:
         window.start = now
         window.written = 0
-    if window.written >= limiter.lines:
+    is_state = name in STATE_EVENTS
+    if window.written >= (limiter.state_lines if is_state else limiter.lines):
         window.left_out += 1
         return None
     left_out = window.left_out
--- a/balsamshed/logs/tests/test_events.py
+++ b/balsamshed/logs/tests/test_events.py
@@ -9,7 +9,11 @@
 from hypothesis import strategies as st
 
 from balsamshed.logs.events import create_event_log, log_event
-from balsamshed.logs.limits import EventLimiter, admit_event
+from balsamshed.logs.limits import (
+    STATE_LINES_PER_INTERVAL,
+    EventLimiter,
+    admit_event,
+)
 from balsamshed.logs.lines import format_line, format_value, parse_line
 
 KEYS = st.from_regex('[a-z_][a-z0-9_]{0,8}', fullmatch=True)
@@ -88,6 +92,19 @@
     assert 'left_out' not in parse_line(lines[4])
 
 
+def test_changes_of_state_get_a_line_each(lines):
+    """The start of a node left out the line of a change that came into force
+    within the same second, as if the change had never been applied."""
+    log = create_event_log(EventLimiter(), lambda: 0.0)
+    for version in range(12):
+        log('record_in_force', version=version)
+    versions = [parse_line(line)['version'] for line in lines]
+    assert versions == [str(version) for version in range(12)]
+    for version in range(1000):
+        log('record_in_force', version=version)
+    assert len(lines) == STATE_LINES_PER_INTERVAL
+
+
 @given(st.lists(st.floats(0, 10), max_size=60).map(sorted))
 def test_no_event_is_lost_from_the_count(times):
     """Lines and left-out counts together must equal the events."""
