Send peers the changes of a view instead of the whole view

Ruled out: reports, at most 10 KB a second by their bound. The state machine of a fleet checks that balancers with one revision know the same endpoints.

--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -15,7 +15,9 @@
     build_table,
     build_view,
 )
+from balsamshed.endpoints.history import EndpointChanges
 from balsamshed.peers.report import EndpointReport, Report
+from balsamshed.peers.view import StoreView
 
 HOSTS = st.tuples(*[st.integers(0, 255)] * 4).map(
     lambda octets: '.'.join(map(str, octets))
@@ -75,10 +77,21 @@
         build_endpoint(1, warm_up_seconds=1.5, sequence=3),
         build_endpoint(2, service='files', is_draining=True),
     )
-    assert decode_view(encode_view(table, view)) == (table, view)
+    whole = StoreView(view, table)
+    assert decode_view(encode_view(whole)) == whole
 
 
-@pytest.mark.parametrize('body', [b'', b'[]', b'{}', b'{"version":1}', b'\xff'])
+def test_changes_of_a_view_come_back_as_they_were():
+    """Guards against changes that are read as a whole view."""
+    changes = EndpointChanges(7, 9, (build_endpoint(1),), (0x1002,))
+    assert decode_view(encode_view(StoreView(changes, None))) == StoreView(
+        changes, None
+    )
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'[]', b'{}', b'{"version":1}', b'\xff', b'3']
+)
 def test_document_of_another_form_is_rejected(body):
     """Guards against a peer's answer that stops the process."""
     assert decode_view(body) is None
--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -1,10 +1,17 @@
-"""Encoding of a balancer's view of the store, which peers fetch as JSON."""
+"""Encoding of a balancer's view of the store, which peers fetch as JSON.
+
+Endpoints are those of the whole view, or of the changes since the revision
+``base``; ``routes`` is missing if the peer has them.
+"""
 
 import json
-from typing import Any
+from collections.abc import Sequence
+from typing import Any, Final
 
 from balsamshed.endpoints.directory import EndpointView
 from balsamshed.endpoints.endpoint import Endpoint
+from balsamshed.endpoints.history import EndpointChanges
+from balsamshed.peers.view import StoreView
 from balsamshed.routes.table import (
     Route,
     RouteTable,
@@ -12,11 +19,64 @@
     create_table,
 )
 
+_MALFORMED: Final = (ValueError, TypeError, KeyError, AttributeError)
+
 
-def encode_view(routes: RouteTable, view: EndpointView) -> bytes:
+def encode_view(view: StoreView) -> bytes:
     """Return the JSON document of routes and endpoints."""
-    document = {
+    document = _list_endpoints(view.endpoints)
+    if view.routes is not None:
+        document['routes'] = _list_routes(view.routes)
+    return json.dumps(document, separators=(',', ':')).encode()
+
+
+def decode_view(body: bytes) -> StoreView | None:
+    """Return routes and endpoints of a document, or None for another form."""
+    try:
+        document = json.loads(body)
+        routes = document.get('routes')
+        return StoreView(
+            _build_endpoints(document),
+            None if routes is None else _build_routes(routes),
+        )
+    except _MALFORMED:
+        return None
+
+
+def _list_endpoints(view: EndpointView | EndpointChanges) -> dict[str, Any]:
+    if isinstance(view, EndpointView):
+        return {
+            'revision': view.revision,
+            'endpoints': _list_rows(view.endpoints),
+        }
+    return {
         'revision': view.revision,
+        'base': view.base,
+        'endpoints': _list_rows(view.present),
+        'removed': view.removed,
+    }
+
+
+def _list_rows(endpoints: Sequence[Endpoint]) -> list[list[Any]]:
+    return [
+        [
+            endpoint.instance,
+            endpoint.started_at_ms,
+            endpoint.service,
+            endpoint.host,
+            endpoint.port,
+            endpoint.data_centre,
+            endpoint.slots,
+            endpoint.is_draining,
+            endpoint.warm_up_seconds,
+            endpoint.sequence,
+        ]
+        for endpoint in endpoints
+    ]
+
+
+def _list_routes(routes: RouteTable) -> dict[str, Any]:
+    return {
         'version': routes.version,
         'services': sorted(routes.services),
         'routes': [
@@ -29,35 +89,21 @@
             ]
             for route in routes.routes.values()
         ],
-        'endpoints': [
-            [
-                endpoint.instance,
-                endpoint.started_at_ms,
-                endpoint.service,
-                endpoint.host,
-                endpoint.port,
-                endpoint.data_centre,
-                endpoint.slots,
-                endpoint.is_draining,
-                endpoint.warm_up_seconds,
-                endpoint.sequence,
-            ]
-            for endpoint in view.endpoints
-        ],
     }
-    return json.dumps(document, separators=(',', ':')).encode()
 
 
-def decode_view(body: bytes) -> tuple[RouteTable, EndpointView] | None:
-    """Return routes and endpoints of a document, or None for another form."""
-    try:
-        return _build_view(json.loads(body))
-    except (ValueError, TypeError, KeyError):
-        return None
+def _build_endpoints(document: Any) -> EndpointView | EndpointChanges:
+    revision = int(document['revision'])
+    endpoints = tuple(Endpoint(*row) for row in document['endpoints'])
+    if 'base' not in document:
+        return EndpointView(revision, endpoints)
+    removed = tuple(document['removed'])
+    base = int(document['base'])
+    return EndpointChanges(base, revision, endpoints, removed)
 
 
-def _build_view(document: Any) -> tuple[RouteTable, EndpointView]:
-    routes = create_table(
+def _build_routes(document: Any) -> RouteTable:
+    return create_table(
         document['version'],
         [
             Route(
@@ -71,5 +117,3 @@
         ],
         document['services'],
     )
-    endpoints = tuple(Endpoint(*row) for row in document['endpoints'])
-    return routes, EndpointView(document['revision'], endpoints)
--- a/balsamshed/edge/effects.py
+++ b/balsamshed/edge/effects.py
@@ -38,15 +38,21 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchView:
-    """Effect: fetch the view of the store that a peer has.
+    """Effect: fetch what a peer knows of the store.
 
     Parameters
     ----------
     host : str
         IPv4 address of the peer.
+    revision : int
+        Revision of the own view; -1 without one.
+    version : int
+        Version of the own routes; -1 without any.
     """
 
     host: str
+    revision: int
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -1,9 +1,10 @@
 """State of an edge balancer."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
+from balsamshed.endpoints.history import ViewHistory
 from balsamshed.peers.roster import Roster
 from balsamshed.steering.decisions import Steering, create_steering, is_ready
 from balsamshed.store.reading import ReadState
@@ -34,6 +35,8 @@
         Time from the request to stop until the process is killed.
     started_at : float
         Seconds of the start.
+    history : ViewHistory
+        Last view of the store's endpoints and its changes.
     leaving_since : float or None
         Time of the request to stop.
     last_packet_at : float
@@ -58,6 +61,7 @@
     draw: Callable[[int], int]
     grace_seconds: float
     started_at: float
+    history: ViewHistory = field(default_factory=ViewHistory)
     leaving_since: float | None = None
     last_packet_at: float = 0
     last_tick_at: float = 0
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -17,7 +17,9 @@
     handle_routes,
 )
 from balsamshed.endpoints.directory import list_open_endpoints
+from balsamshed.endpoints.history import EndpointChanges
 from balsamshed.peers.report import Report
+from balsamshed.peers.view import StoreView
 from balsamshed.store.reading import Source, get_age, start_read
 
 
@@ -77,10 +79,12 @@
     ]
     assert list_fetches(tick_and_report(edge, '10.9.0.3', report, 1)) == []
     draining = build_endpoint(1, is_draining=True)
-    handle_peer_view(edge, build_table(2), build_view(2, draining), 1.1)
+    handle_peer_view(
+        edge, StoreView(build_view(2, draining), build_table(2)), 1.1
+    )
     assert list_open_endpoints(edge.steering.directory, 'web') == ()
     assert edge.steering.routes.version == 2
-    assert get_view(edge)[1].revision == 2
+    assert get_view(edge).endpoints.revision == 2
 
 
 def test_failed_fetch_is_repeated():
@@ -98,7 +102,8 @@
     edge = build_edge()
     draining = build_endpoint(1, is_draining=True)
     read_store(edge, build_view(5, draining), build_table(5), 0)
-    handle_peer_view(edge, build_table(4), build_view(4, build_endpoint(1)), 1)
+    older = StoreView(build_view(4, build_endpoint(1)), build_table(4))
+    handle_peer_view(edge, older, 1)
     assert list_open_endpoints(edge.steering.directory, 'web') == ()
     assert edge.steering.routes.version == 5
 
@@ -145,4 +150,27 @@
     handle_read_failed(edge, Source.ENDPOINTS, 'status_503', 5)
     read_store(edge, build_view(9, second), build_table(1), 6)
     assert set(edge.steering.directory.endpoints.values()) == {first, second}
-    assert get_view(edge)[1] == build_view(9, second)
+    assert get_view(edge).endpoints == build_view(9, second)
+
+
+def test_peer_gets_only_what_changed():
+    """Guards against 8 KB for each balancer and change."""
+    edge = build_edge()
+    first, second = build_endpoint(1), build_endpoint(2)
+    read_store(edge, build_view(1, first, second), build_table(1), 0)
+    draining = build_endpoint(2, is_draining=True)
+    read_store(edge, build_view(2, draining), build_table(1), 1)
+    changes = EndpointChanges(1, 2, (draining,), (first.instance,))
+    assert get_view(edge, 1, 1) == StoreView(changes, None)
+    assert get_view(edge, 1, 0).routes == build_table(1)
+    assert get_view(edge, 0, 1).endpoints == build_view(2, draining)
+
+
+def test_changes_since_an_unknown_view_are_refused():
+    """Guards against changes that are applied to another view."""
+    edge = build_edge()
+    read_store(edge, build_view(1, build_endpoint(1)), build_table(1), 0)
+    changes = EndpointChanges(2, 3, (), ())
+    effects = handle_peer_view(edge, StoreView(changes, None), 1)
+    assert list_events(effects) == ['peer_view_failed']
+    assert get_view(edge).endpoints.revision == 1
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -1,6 +1,6 @@
 """How an edge balancer takes over views of the store."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 from balsamshed.edge.effects import (
@@ -16,8 +16,15 @@
     EndpointView,
     apply_view,
 )
+from balsamshed.endpoints.history import (
+    EndpointChanges,
+    list_changes,
+    merge_changes,
+    note_view,
+)
 from balsamshed.peers.report import Report
 from balsamshed.peers.roster import list_holders, note_report
+from balsamshed.peers.view import StoreView
 from balsamshed.placement.in_flight import forget_endpoint
 from balsamshed.routes.table import RouteTable
 from balsamshed.steering.decisions import Steering, is_ready, replace_routes
@@ -111,40 +118,65 @@
         )
         if holders:
             edge.fetching_since = now
-            effects.append(FetchView(holders[edge.draw(len(holders))]))
+            effects.append(_fetch_view(edge, holders))
     return effects
 
 
 def handle_peer_view(
     edge: Edge,
-    routes: RouteTable,
-    view: EndpointView,
+    view: StoreView,
     now: float,
 ) -> list[EdgeEffect]:
     """Take over a peer's view of the store if it is newer."""
     edge.fetching_since = None
-    if view.revision <= edge.reads.revision:
+    endpoints = view.endpoints
+    if endpoints.revision <= edge.reads.revision:
         return []
-    effects = _apply_routes(edge.steering, routes)
-    effects.extend(_apply_endpoints(edge, view, now))
+    if isinstance(endpoints, EndpointChanges):
+        if endpoints.base > edge.history.revision:
+            reason = f'changes_since_{endpoints.base}'
+            return [WriteEvent('peer_view_failed', {'reason': reason})]
+        endpoints = merge_changes(edge.history, endpoints)
+    effects: list[EdgeEffect] = []
+    if view.routes is not None:
+        effects.extend(_apply_routes(edge.steering, view.routes))
+    effects.extend(_apply_endpoints(edge, endpoints, now))
     # A report of the same revision confirms it; without one the store is read.
-    adopt_revision(edge.reads, view.revision, edge.reads.confirmed_at)
+    adopt_revision(edge.reads, endpoints.revision, edge.reads.confirmed_at)
     return effects + _note_readiness(edge, now)
 
 
-def get_view(edge: Edge) -> tuple[RouteTable, EndpointView]:
-    """Return what peers may fetch: routes, and endpoints at a revision.
+def get_view(edge: Edge, revision: int = -1, version: int = -1) -> StoreView:
+    """Return what a peer lacks of this balancer's view.
 
     Endpoints that the store does not list are left out: each balancer decides
     itself how long it keeps them.
+
+    Parameters
+    ----------
+    edge : Edge
+        State of this balancer.
+    revision : int
+        Revision of the peer's view; -1 without one.
+    version : int
+        Version of the peer's routes; -1 without any.
     """
-    directory = edge.steering.directory
-    endpoints = tuple(
-        endpoint
-        for instance, endpoint in directory.endpoints.items()
-        if instance not in directory.missing_since
+    history = edge.history
+    known = edge.reads.revision
+    routes = edge.steering.routes
+    endpoints = list_changes(history, revision, known) or EndpointView(
+        known,
+        tuple(history.listed.values()),
+    )
+    return StoreView(endpoints, routes if routes.version > version else None)
+
+
+def _fetch_view(edge: Edge, holders: Sequence[str]) -> FetchView:
+    return FetchView(
+        holders[edge.draw(len(holders))],
+        edge.reads.revision,
+        edge.steering.routes.version,
     )
-    return edge.steering.routes, EndpointView(edge.reads.revision, endpoints)
 
 
 def _finish(edge: Edge) -> list[EdgeEffect]:
@@ -172,6 +204,7 @@
     now: float,
 ) -> list[EdgeEffect]:
     steering = edge.steering
+    note_view(edge.history, view)
     changes = apply_view(
         steering.directory,
         view,
--- a/balsamshed/endpoints/directory.py
+++ b/balsamshed/endpoints/directory.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import Final
 
-from balsamshed.endpoints.endpoint import Endpoint
+from balsamshed.endpoints.endpoint import Endpoint, has_same_state
 
 #: How long an endpoint that vanished with the store's outage is kept: live ones
 #: are back within two seconds of its return.
@@ -216,10 +216,7 @@
         return ChangeKind.RESTARTED
     if former.is_draining != newer.is_draining:
         return ChangeKind.DRAINING if newer.is_draining else ChangeKind.READY
-    identity = (former.service, former.host, former.port, former.data_centre)
-    if identity != (newer.service, newer.host, newer.port, newer.data_centre):
-        return ChangeKind.UPDATED
-    return None
+    return None if has_same_state(former, newer) else ChangeKind.UPDATED
 
 
 def _keep_departed(
--- a/balsamshed/endpoints/endpoint.py
+++ b/balsamshed/endpoints/endpoint.py
@@ -1,6 +1,7 @@
 """An endpoint of a service, as it reports itself."""
 
 from dataclasses import dataclass, field
+from operator import attrgetter
 from typing import Final
 
 #: Width of the cookie that names an endpoint in a packet.
@@ -9,6 +10,15 @@
 NO_COOKIE: Final = 0
 
 _COOKIE_MASK: Final = (1 << COOKIE_BITS) - 1
+_get_state: Final = attrgetter(
+    'started_at_ms',
+    'service',
+    'host',
+    'port',
+    'data_centre',
+    'slots',
+    'is_draining',
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +70,15 @@
         object.__setattr__(self, 'cookie', derive_cookie(self.instance))
 
 
+def has_same_state(first: Endpoint, second: Endpoint) -> bool:
+    """Tell whether two reports of one identity lead to the same decisions.
+
+    The number of the report and the rest of its warm-up are left out: they
+    differ between any two reports.
+    """
+    return first is second or bool(_get_state(first) == _get_state(second))
+
+
 def derive_cookie(instance: int) -> int:
     """Return the cookie of an endpoint: 32 bits that any balancer derives.
 
--- /dev/null
+++ b/balsamshed/endpoints/tests/test_history.py
@@ -0,0 +1,104 @@
+"""Guards against balancers that end up with different views of the store."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from balsamshed.edge.tests.builders import build_endpoint, build_view
+from balsamshed.endpoints.history import (
+    MOST_CHANGES,
+    ViewHistory,
+    list_changes,
+    merge_changes,
+    note_view,
+)
+
+ENDPOINTS = st.builds(
+    build_endpoint,
+    st.integers(1, 6),
+    is_draining=st.booleans(),
+    started_at_ms=st.integers(1, 2),
+    sequence=st.integers(0, 3),
+)
+VIEWS = st.lists(
+    st.lists(ENDPOINTS, unique_by=lambda endpoint: endpoint.instance),
+    min_size=1,
+    max_size=8,
+)
+
+
+def describe(endpoints):
+    """Return what has to be equal at every balancer."""
+    return {
+        endpoint.instance: (endpoint.started_at_ms, endpoint.is_draining)
+        for endpoint in endpoints
+    }
+
+
+def build_history(*views):
+    """Return the history of a balancer that saw views at 1, 2, 3 and so on."""
+    history = ViewHistory()
+    for revision, endpoints in enumerate(views, start=1):
+        note_view(history, build_view(revision, *endpoints))
+    return history
+
+
+@given(VIEWS, st.data())
+def test_changes_lead_from_any_view_to_the_last_one(views, data):
+    """Guards against a drain or a removal that is left out."""
+    last = len(views)
+    base = data.draw(st.integers(1, last))
+    own = data.draw(st.integers(base, last))
+    changes = list_changes(build_history(*views), base, last)
+    merged = merge_changes(build_history(*views[:own]), changes)
+    assert describe(merged.endpoints) == describe(views[-1])
+    assert merged.revision == last
+
+
+@given(VIEWS)
+def test_changes_pass_through_several_balancers(views):
+    """Guards against changes that a balancer learned as changes and loses."""
+    first, second = build_history(*views), build_history(views[0])
+    last = len(views)
+    changes = list_changes(first, 1, last)
+    note_view(second, merge_changes(second, changes))
+    again = list_changes(second, 1, last)
+    merged = merge_changes(build_history(views[0]), again)
+    assert describe(merged.endpoints) == describe(views[-1])
+
+
+def test_reports_without_news_are_no_changes():
+    """Guards against views that are passed on because of a heartbeat."""
+    history = build_history(
+        [build_endpoint(1, sequence=1)],
+        [build_endpoint(1, sequence=2, warm_up_seconds=1)],
+    )
+    changes = list_changes(history, 1, 2)
+    assert (changes.present, changes.removed) == ((), ())
+
+
+def test_endpoint_that_comes_back_unchanged_is_a_change():
+    """A peer that saw it missing has removed it."""
+    endpoint = build_endpoint(1)
+    history = build_history([endpoint], [], [endpoint])
+    assert list_changes(history, 2, 3).present == (endpoint,)
+
+
+def test_earlier_views_than_the_first_are_unknown():
+    """Guards against a peer that keeps what was removed before the start."""
+    history = ViewHistory()
+    assert list_changes(history, -1, 0) is None
+    note_view(history, build_view(5, build_endpoint(1)))
+    assert list_changes(history, 4, 5) is None
+    assert list_changes(history, 5, 5) is not None
+
+
+def test_memory_of_changes_is_bounded():
+    """Guards against memory that grows with each endpoint of the past."""
+    history = build_history([])
+    for revision in range(2, MOST_CHANGES + 100):
+        endpoint = build_endpoint(1, instance=revision)
+        note_view(history, build_view(revision, endpoint))
+    assert len(history.changed_at) == MOST_CHANGES
+    assert list_changes(history, history.start - 1, history.revision) is None
+    last = list_changes(history, history.revision - 1, history.revision)
+    assert last.removed == (history.revision - 1,)
--- a/balsamshed/front_ends/edge_peers.py
+++ b/balsamshed/front_ends/edge_peers.py
@@ -1,5 +1,6 @@
 """Peer port of an edge balancer: reports by UDP, views by HTTP."""
 
+import re
 from typing import Final
 
 from balsamshed.codecs.reports import (
@@ -33,12 +34,16 @@
 from balsamshed.settings.balancer import SocketAddress
 from balsamshed.store.reading import Source
 
-#: Path of a balancer's view of the store, for its peers.
+#: Path of a balancer's view of the store, for its peers; the revision and the
+#: version that the peer has follow it.
 VIEW_PATH: Final = '/view'
 #: A peer that does not answer in this time is not waited for any longer.
 FETCH_TIMEOUT_SECONDS: Final = 0.5
 
 _OK: Final = 200
+_VIEW_TARGET: Final = re.compile(
+    rf'{VIEW_PATH}/(-1|[0-9]{{1,18}})/(-1|[0-9]{{1,18}})'
+)
 
 
 def open_peer_port(process: EdgeProcess) -> None:
@@ -65,14 +70,16 @@
 
     def fetch_view(effect: FetchView) -> None:
         address = SocketAddress(effect.host, peer_port)
-        _fetch_view(process, HttpSession(process.loop, address))
+        _fetch_view(process, HttpSession(process.loop, address), effect)
 
     def answer(target: str) -> HttpAnswer:
-        if target != VIEW_PATH:
+        known = _parse_target(target)
+        if known is None:
             return HttpAnswer(404)
         if process.edge.reads.revision < 0:
             return HttpAnswer(503)
-        body = encode_view(*get_view(process.edge))
+        body = encode_view(get_view(process.edge, *known))
+        counts['view_bytes'] += len(body)
         return HttpAnswer(_OK, body, 'application/json')
 
     address = SocketAddress(process.settings.packets.host, peer_port)
@@ -83,7 +90,17 @@
     process.performers[FetchView] = fetch_view
 
 
-def _fetch_view(process: EdgeProcess, session: HttpSession) -> None:
+def _parse_target(target: str) -> tuple[int, int] | None:
+    """Return revision and version of the peer, or None for another target."""
+    matched = _VIEW_TARGET.fullmatch(target)
+    return None if matched is None else (int(matched[1]), int(matched[2]))
+
+
+def _fetch_view(
+    process: EdgeProcess,
+    session: HttpSession,
+    effect: FetchView,
+) -> None:
     started_at = read_clock()
 
     def take_response(outcome: HttpResponse | HttpFailure) -> None:
@@ -91,7 +108,8 @@
         measure(process, 'peer_view', read_clock() - started_at)
         perform(process, _handle_view(process.edge, outcome))
 
-    session.get(VIEW_PATH, FETCH_TIMEOUT_SECONDS, take_response)
+    target = f'{VIEW_PATH}/{effect.revision}/{effect.version}'
+    session.get(target, FETCH_TIMEOUT_SECONDS, take_response)
 
 
 def _handle_view(
@@ -106,5 +124,5 @@
     elif (view := decode_view(outcome.body)) is None:
         reason = 'malformed'
     else:
-        return handle_peer_view(edge, *view, now)
+        return handle_peer_view(edge, view, now)
     return handle_read_failed(edge, Source.PEER_VIEW, reason, now)
--- a/balsamshed/logs/limits.py
+++ b/balsamshed/logs/limits.py
@@ -93,7 +93,8 @@
         window.start = now
         window.written = 0
     is_state = name in STATE_EVENTS
-    if window.written >= (limiter.state_lines if is_state else limiter.lines):
+    most = limiter.state_lines if is_state else limiter.lines
+    if window.written >= most:
         window.left_out += 1
         return None
     left_out = window.left_out
--- a/testbed/tests/test_edge_fleet.py
+++ b/testbed/tests/test_edge_fleet.py
@@ -35,6 +35,11 @@
 CALM_SECONDS = 4
 
 
+def get_instance(endpoint):
+    """Return what endpoints are sorted by."""
+    return endpoint.instance
+
+
 class FleetMachine(RuleBasedStateMachine):
     """Three balancers, a store, and a network between them."""
 
@@ -48,6 +53,7 @@
             number: build_endpoint(number) for number in range(1, 5)
         }
         self.draining_since = {}
+        self.drained_at = {}
         self.is_store_up = True
         self.refused = set()
         self.paused = set()
@@ -74,6 +80,7 @@
         self.revision += 1
         self.endpoints[number] = build_endpoint(number, is_draining=True)
         self.draining_since[number] = self.now
+        self.drained_at[number] = self.revision
 
     @rule()
     def change_configuration(self):
@@ -154,7 +161,7 @@
             if isinstance(effect, ReadSource):
                 self.perform(host, self.read(host, effect.source))
             elif isinstance(effect, FetchView):
-                self.perform(host, self.fetch(host, effect.host))
+                self.perform(host, self.fetch(host, effect))
             elif isinstance(effect, SendReport):
                 for target in effect.hosts:
                     if target not in self.paused:
@@ -176,15 +183,28 @@
         view = build_view(self.revision, *self.endpoints.values())
         return handle_endpoints(edge, view, self.now)
 
-    def fetch(self, host, target):
+    def fetch(self, host, effect):
         """Answer a fetch of a peer's view."""
         edge = self.edges[host]
-        if target in self.paused:
+        if effect.host in self.paused:
             return handle_read_failed(
                 edge, Source.PEER_VIEW, 'timed_out', self.now
             )
-        view = decode_view(encode_view(*get_view(self.edges[target])))
-        return handle_peer_view(edge, *view, self.now)
+        target = self.edges[effect.host]
+        view = get_view(target, effect.revision, effect.version)
+        return handle_peer_view(edge, decode_view(encode_view(view)), self.now)
+
+    @invariant()
+    def views_of_one_revision_are_equal(self):
+        """Whoever reads changes of a peer knows what the store listed."""
+        for edge in self.edges.values():
+            for number, endpoint in enumerate(
+                sorted(edge.history.listed.values(), key=get_instance),
+                start=1,
+            ):
+                drained_at = self.drained_at.get(number, float('inf'))
+                is_draining = drained_at <= edge.history.revision
+                assert endpoint.is_draining == is_draining
 
     @invariant()
     def versions_only_rise(self):
