Start with a view that may be stale, confirm by the revision alone

Ruled out: reads of several ranks (one reader at a time in the logs). Change: the first view of a process may come from a replica, which costs a tenth and is not limited by the store's rate; it is confirmed by a peer or a read 0.3 s later. A read starts with the list of a kind that has no objects and shows the store's revision; the rest is read only if that is new.

--- a/balsamshed/edge/effects.py
+++ b/balsamshed/edge/effects.py
@@ -15,9 +15,12 @@
     ----------
     source : Source
         What to read.
+    may_be_stale : bool
+        Whether a view that is some seconds old will do.
     """
 
     source: Source
+    may_be_stale: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -22,7 +22,6 @@
 from balsamshed.placement.in_flight import InFlightBoard, is_suspected
 from balsamshed.steering.requests import PendingRequest, expire_requests
 from balsamshed.store.reading import (
-    Source,
     get_age,
     is_read_due,
     start_read,
@@ -54,8 +53,8 @@
     for host in expire_peers(edge.roster, now):
         effects.append(WriteEvent('peer_lost', {'peer': host}))
     if is_read_due(edge.reads, rank_reader(edge.roster), now):
-        start_read(edge.reads, now)
-        effects.append(ReadSource(Source.ENDPOINTS))
+        source = start_read(edge.reads, now)
+        effects.append(ReadSource(source, edge.reads.may_be_stale))
     effects.extend(_note_suspects(edge, now))
     targets = choose_targets(edge.roster)
     if targets:
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -14,6 +14,7 @@
     handle_peer_view,
     handle_read_failed,
     handle_report,
+    handle_revision,
     handle_routes,
 )
 from balsamshed.endpoints.directory import list_open_endpoints
@@ -25,6 +26,8 @@
 
 def read_store(edge, view, table, now):
     start_read(edge.reads, now)
+    # As if it was confirmed: most tests are not about a start.
+    edge.reads.may_be_stale = False
     effects = handle_endpoints(edge, view, now)
     if ReadSource(Source.ROUTES) in effects:
         handle_routes(edge, table, now)
@@ -174,3 +177,25 @@
     effects = handle_peer_view(edge, StoreView(changes, None), 1)
     assert list_events(effects) == ['peer_view_failed']
     assert get_view(edge).endpoints.revision == 1
+
+
+def test_unchanged_revision_ends_a_read_at_once():
+    """Guards against lists of many pages that show nothing new."""
+    edge = build_edge()
+    read_store(edge, build_view(4, build_endpoint(1)), build_table(1), 0)
+    start_read(edge.reads, 1)
+    assert handle_revision(edge, 4) == []
+    assert get_age(edge.reads, 1.5) == 0.5
+    start_read(edge.reads, 2)
+    assert handle_revision(edge, 5) == [ReadSource(Source.ENDPOINTS)]
+    assert get_age(edge.reads, 2.5) == 1.5
+
+
+def test_stale_view_serves_at_once():
+    """Guards against a start that waits for the store's rate."""
+    edge = build_edge()
+    start_read(edge.reads, 0)
+    effects = handle_endpoints(edge, build_view(4, build_endpoint(1)), 0)
+    assert ReadSource(Source.ROUTES, may_be_stale=True) in effects
+    handle_routes(edge, build_table(1), 0)
+    assert accepts_traffic(edge)
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -35,7 +35,7 @@
     fail_read,
     finish_read,
     get_age,
-    needs_routes,
+    is_changed,
     was_away,
 )
 
@@ -44,6 +44,13 @@
 )
 
 
+def handle_revision(edge: Edge, revision: int) -> list[EdgeEffect]:
+    """Read what the store lists if it has changed, else keep what is known."""
+    if is_changed(edge.reads, revision):
+        return [ReadSource(Source.ENDPOINTS)]
+    return _finish(edge)
+
+
 def handle_endpoints(
     edge: Edge,
     view: EndpointView,
@@ -51,8 +58,8 @@
 ) -> list[EdgeEffect]:
     """Take over the endpoints that the store lists."""
     effects = _apply_endpoints(edge, view, now)
-    if needs_routes(edge.reads, view.revision):
-        effects.append(ReadSource(Source.ROUTES))
+    if is_changed(edge.reads, view.revision):
+        effects.append(ReadSource(Source.ROUTES, edge.reads.may_be_stale))
     else:
         effects.extend(_finish(edge))
     return effects + _note_readiness(edge, now)
@@ -142,7 +149,7 @@
         effects.extend(_apply_routes(edge.steering, view.routes))
     effects.extend(_apply_endpoints(edge, endpoints, now))
     # A report of the same revision confirms it; without one the store is read.
-    adopt_revision(edge.reads, endpoints.revision, edge.reads.confirmed_at)
+    adopt_revision(edge.reads, endpoints.revision, now)
     return effects + _note_readiness(edge, now)
 
 
--- a/balsamshed/front_ends/edge_store.py
+++ b/balsamshed/front_ends/edge_store.py
@@ -6,6 +6,7 @@
 from balsamshed.edge.views import (
     handle_endpoints,
     handle_read_failed,
+    handle_revision,
     handle_routes,
 )
 from balsamshed.front_ends.edge_context import (
@@ -26,7 +27,7 @@
     read_source(
         process.store,
         process.wire.store,
-        effect.source,
+        effect,
         partial(_take_listing, process, effect.source, read_clock()),
     )
 
@@ -42,6 +43,8 @@
     if isinstance(outcome, HttpFailure):
         process.counts['store_reads_failed'] += 1
         effects = handle_read_failed(process.edge, source, outcome.reason, now)
+    elif source is Source.REVISION:
+        effects = handle_revision(process.edge, outcome.revision)
     elif source is Source.ENDPOINTS:
         effects = _take_endpoints(process, outcome, now)
     else:
--- a/balsamshed/front_ends/source_reader.py
+++ b/balsamshed/front_ends/source_reader.py
@@ -4,12 +4,13 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+from balsamshed.edge.effects import ReadSource
 from balsamshed.front_ends.http_session import (
     HttpFailure,
     HttpResponse,
     HttpSession,
 )
-from balsamshed.store.reading import READ_TIMEOUT_SECONDS, Source
+from balsamshed.store.reading import READ_TIMEOUT_SECONDS
 
 #: Pages of one list at most: the largest group of endpoints has 150 pages.
 MOST_PAGES: Final = 200
@@ -59,12 +60,12 @@
     Parameters
     ----------
     format_path : callable
-        Returns the path that lists a source after a name.
+        Returns the path that lists what an effect reads, after a name.
     decode_page : callable
         Returns the page of a response's body, or None for another form.
     """
 
-    format_path: Callable[[Source, str], str]
+    format_path: Callable[[ReadSource, str], str]
     decode_page: Callable[[bytes], ListPage | None]
 
 
@@ -75,7 +76,7 @@
 def read_source(
     session: HttpSession,
     store_format: StoreFormat,
-    source: Source,
+    effect: ReadSource,
     take_listing: TakeListing,
 ) -> None:
     """Read every page of a source.
@@ -86,7 +87,7 @@
         Connection to the store without a request in progress.
     store_format : StoreFormat
         Paths and pages.
-    source : Source
+    effect : ReadSource
         What to read.
     take_listing : callable
         Called once, with the outcome.
@@ -96,7 +97,7 @@
 
     def request_page(after: str) -> None:
         session.get(
-            store_format.format_path(source, after),
+            store_format.format_path(effect, after),
             READ_TIMEOUT_SECONDS,
             take_response,
         )
--- a/balsamshed/platform/calls.py
+++ b/balsamshed/platform/calls.py
@@ -4,16 +4,30 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
+from balsamshed.edge.effects import ReadSource
 from balsamshed.front_ends.source_reader import ListPage
 from balsamshed.store.reading import Source
 
-_KINDS: Final = {Source.ENDPOINTS: 'servers', Source.ROUTES: 'config'}
+#: Nobody writes objects of the last kind: a list of it shows no more than the
+#: store's revision.
+_KINDS: Final = {
+    Source.ENDPOINTS: 'servers',
+    Source.ROUTES: 'config',
+    Source.REVISION: 'balsamshed',
+}
 
 
-def format_list_path(source: Source, after: str) -> str:
+def format_list_path(effect: ReadSource, after: str) -> str:
     """Return the path that lists a source's objects after a name."""
-    path = f'/v1/objects/{_KINDS[source]}'
-    return f'{path}?after={after}' if after else path
+    options = []
+    if after:
+        options.append(f'after={after}')
+    if effect.may_be_stale:
+        # ``serializable`` means that a replica may answer, seconds behind.
+        options.append('serializable=1')
+    query = '&'.join(options)
+    path = f'/v1/objects/{_KINDS[effect.source]}'
+    return f'{path}?{query}' if query else path
 
 
 def decode_page(body: bytes) -> ListPage | None:
--- a/balsamshed/store/reading.py
+++ b/balsamshed/store/reading.py
@@ -4,7 +4,10 @@
 may drop its history while the watch waits. What a balancer believes is
 therefore confirmed at a fixed interval, so that its age is bounded. One read
 confirms it for every balancer that hears of it: the store counts its changes
-in one revision.
+in one revision, and only a new revision makes anybody read more than that.
+
+A balancer that starts takes a view that may be stale, which costs a tenth and
+is not limited, and serves with it until it or a peer has confirmed it.
 """
 
 from collections.abc import Callable
@@ -19,6 +22,12 @@
 READER_STEP_SECONDS: Final = 0.2
 #: Age at which everybody reads, whatever its rank.
 LATEST_READ_SECONDS: Final = 1.6
+#: A view that may be stale is read again after this time, unless a peer
+#: confirms it. Reports of peers that run arrive within it.
+UNCONFIRMED_SECONDS: Final = 0.3
+#: Views that may be stale are tried so often; a replica may lack the first
+#: configuration of a site for seconds.
+STALE_ATTEMPTS: Final = 4
 #: A read without a response is given up after this time. A slow store takes
 #: 60 times its usual 4 ms.
 READ_TIMEOUT_SECONDS: Final = 0.7
@@ -35,6 +44,7 @@
 class Source(StrEnum):
     """What is read from the store, or from a peer."""
 
+    REVISION = 'revision'
     ENDPOINTS = 'endpoints'
     ROUTES = 'routes'
     PEER_VIEW = 'peer_view'
@@ -53,6 +63,10 @@
         When the store confirmed that revision as the current one.
     started_at : float or None
         Start of the read in progress.
+    may_be_stale : bool
+        Whether the read in progress may return an old view.
+    unconfirmed_since : float
+        When a view was taken over that nobody has confirmed yet.
     reading_revision : int
         Revision of the endpoints whose routes are being read.
     retry_at : float
@@ -66,6 +80,8 @@
     revision: int = -1
     confirmed_at: float | None = None
     started_at: float | None = None
+    may_be_stale: bool = False
+    unconfirmed_since: float = 0
     reading_revision: int = -1
     retry_at: float = 0
     failures: int = 0
@@ -86,29 +102,38 @@
     """
     if state.started_at is not None or now < state.retry_at:
         return False
-    if state.confirmed_at is None:
+    if state.revision < 0:
         return True
-    delay = min(
-        READ_INTERVAL_SECONDS + rank * READER_STEP_SECONDS,
-        LATEST_READ_SECONDS,
-    )
-    return now - state.confirmed_at >= delay
+    since, first = state.confirmed_at, READ_INTERVAL_SECONDS
+    if since is None:
+        since, first = state.unconfirmed_since, UNCONFIRMED_SECONDS
+    delay = min(first + rank * READER_STEP_SECONDS, LATEST_READ_SECONDS)
+    return now - since >= delay
+
 
+def start_read(state: ReadState, now: float) -> Source:
+    """Note that a read starts.
 
-def start_read(state: ReadState, now: float) -> None:
-    """Note that a read starts."""
+    Returns
+    -------
+    Source
+        What is read first.
+    """
     state.started_at = now
+    is_first = state.revision < 0
+    state.may_be_stale = is_first and state.failures < STALE_ATTEMPTS
+    return Source.ENDPOINTS if is_first else Source.REVISION
 
 
-def needs_routes(state: ReadState, revision: int) -> bool:
-    """Tell whether the routes may differ since the last confirmed revision.
+def is_changed(state: ReadState, revision: int) -> bool:
+    """Tell whether anything may differ from what is known.
 
     Parameters
     ----------
     state : ReadState
         Changed in place: the revision is kept for the end of the read.
     revision : int
-        Revision that the list of endpoints shows.
+        Revision of the store, or the one that a list of endpoints shows.
     """
     state.reading_revision = revision
     return revision != state.revision
@@ -124,7 +149,10 @@
     """
     if state.reading_revision >= state.revision:
         state.revision = state.reading_revision
-        state.confirmed_at = state.started_at
+        if state.may_be_stale:
+            state.unconfirmed_since = state.started_at or 0
+        else:
+            state.confirmed_at = state.started_at
     state.started_at = None
     was_failing = state.failures > 0
     state.failures = 0
@@ -182,15 +210,15 @@
         state.confirmed_at = confirmed_at
 
 
-def adopt_revision(
-    state: ReadState,
-    revision: int,
-    confirmed_at: float | None,
-) -> None:
-    """Note that a peer's view with a newer revision was taken over."""
+def adopt_revision(state: ReadState, revision: int, now: float) -> None:
+    """Note that a peer's view with a newer revision was taken over.
+
+    It is at least as fresh as the view before; a report of the same revision
+    confirms it.
+    """
     if revision > state.revision:
         state.revision = revision
-        state.confirmed_at = confirmed_at
+        state.unconfirmed_since = now
 
 
 def was_away(state: ReadState, now: float) -> bool:
--- a/testbed/tests/test_edge_fleet.py
+++ b/testbed/tests/test_edge_fleet.py
@@ -21,6 +21,7 @@
     handle_peer_view,
     handle_read_failed,
     handle_report,
+    handle_revision,
     handle_routes,
 )
 from balsamshed.peers.roster import add_addresses
@@ -178,6 +179,8 @@
         edge = self.edges[host]
         if not self.is_store_up or host in self.refused:
             return handle_read_failed(edge, source, 'refused', self.now)
+        if source is Source.REVISION:
+            return handle_revision(edge, self.revision)
         if source is Source.ROUTES:
             return handle_routes(edge, build_table(self.version), self.now)
         view = build_view(self.revision, *self.endpoints.values())
