Keep reports within 4.4 KB a second, half of it for the own data centre

Cause: reports went to up to 12 peers ten times a second: 6 to 10 KB a second with headers on 9 to 13 balancers and 10 KB in larger groups, where 5 KB are allowed for all control traffic. Ruled out: views, which are differences since the last change. Change: a balancer spends a budget of bytes, half of it on peers of its own data centre, and 20 KB more after its start. In large groups a report lives for three rounds. Suspicions are listed once a tick.

--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -1,5 +1,7 @@
 """Tests of the encodings between edge balancers."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -16,7 +18,7 @@
     build_view,
 )
 from balsamshed.endpoints.history import EndpointChanges
-from balsamshed.peers.report import EndpointReport, Report
+from balsamshed.peers.report import EndpointReport, Report, count_bytes
 from balsamshed.peers.view import StoreView
 
 HOSTS = st.tuples(*[st.integers(0, 255)] * 4).map(
@@ -51,6 +53,17 @@
     assert abs(decoded.age_seconds - report.age_seconds) <= 0.001
 
 
+@given(REPORTS)
+def test_size_of_a_report_is_known_before_it_is_encoded(report):
+    """Guards against a budget of bytes that the network exceeds."""
+    headers = 28
+    assert len(encode_report(report)) + headers <= count_bytes(report) + len(
+        report.data_centre.encode()
+    )
+    plain = replace(report, data_centre='qc-est-a')
+    assert len(encode_report(plain)) + headers == count_bytes(plain)
+
+
 def test_missing_age_comes_back_as_missing():
     """Guards against a view that looks confirmed and never was."""
     report = Report('a', -1, float('inf'), (), ())
--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -12,7 +12,7 @@
 from balsamshed.edge.state import Edge, note_pause
 from balsamshed.edge.views import note_changes
 from balsamshed.endpoints.directory import remove_missing
-from balsamshed.peers.report import EndpointReport, Report
+from balsamshed.peers.report import EndpointReport, Report, count_bytes
 from balsamshed.peers.roster import (
     choose_passed_on,
     choose_targets,
@@ -56,9 +56,10 @@
         source = start_read(edge.reads, now)
         effects.append(ReadSource(source, edge.reads.may_be_stale))
     effects.extend(_note_suspects(edge, now))
-    targets = choose_targets(edge.roster)
+    report = create_report(edge, now)
+    targets = choose_targets(edge.roster, count_bytes(report), now)
     if targets:
-        effects.append(SendReport(create_report(edge, now), targets))
+        effects.append(SendReport(report, targets))
     if edge.leaving_since is not None and _may_stop(edge, now):
         effects.append(StopProcess())
     return effects
@@ -75,7 +76,7 @@
 def create_report(edge: Edge, now: float) -> Report:
     """Return what this balancer tells its peers."""
     board = edge.steering.board
-    suspected = _list_suspects(board, now)
+    suspected = edge.suspects
     cookies = board.own.keys() | suspected
     return Report(
         edge.data_centre,
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -80,7 +80,7 @@
     now: float,
 ) -> Edge:
     """Create the state of an edge balancer that has just started."""
-    roster = Roster(own_host)
+    roster = Roster(own_host, data_centre)
     steering = create_steering(
         data_centre,
         flow_lifetime_seconds,
--- a/balsamshed/peers/report.py
+++ b/balsamshed/peers/report.py
@@ -1,6 +1,13 @@
 """Report that a balancer sends to others several times a second."""
 
 from dataclasses import dataclass
+from typing import Final
+
+#: Bytes of a report on the network: headers of IP and UDP, what every report
+#: has, and each endpoint and peer.
+BASE_BYTES: Final = 28 + 16
+ENDPOINT_BYTES: Final = 6
+PEER_BYTES: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,3 +53,13 @@
     age_seconds: float
     endpoints: tuple[EndpointReport, ...]
     peers: tuple[str, ...]
+
+
+def count_bytes(report: Report) -> int:
+    """Return how many bytes a report takes on the network."""
+    return (
+        BASE_BYTES
+        + len(report.data_centre)
+        + len(report.endpoints) * ENDPOINT_BYTES
+        + len(report.peers) * PEER_BYTES
+    )
--- a/balsamshed/peers/roster.py
+++ b/balsamshed/peers/roster.py
@@ -10,14 +10,24 @@
 
 from balsamshed.peers.report import Report
 
-#: Reports come every 0.1 s in small groups; a peer that misses this many
-#: seconds is not counted on.
+#: A peer that was silent for this long is not counted on.
 REPORT_LIFETIME_SECONDS: Final = 1.0
+#: In large groups a report comes more rarely; a peer may miss two of three.
+REPORT_LIFETIME_ROUNDS: Final = 3
 #: Addresses without a report are tried for this long before they are
 #: forgotten; a cut-off data centre comes back within it.
 ADDRESS_LIFETIME_SECONDS: Final = 60.0
-#: Peers that one round of reports goes to at most: 120 reports a second.
-MOST_TARGETS: Final = 12
+#: What a balancer sends in reports; views and the store get the rest of the
+#: 5 KB/s for control.
+REPORT_BYTES_PER_SECOND: Final = 4400
+#: Share of that for peers in the same data centre, whose flows go to the same
+#: endpoints, if they need so much.
+NEAR_SHARE: Final = 0.5
+#: Time without reports, as in a pause, that is made up for at most.
+SAVED_SECONDS: Final = 0.2
+#: What a balancer may send in reports beyond that after its start: it has to
+#: find its peers, and after the loss of all of them the load is highest.
+START_BYTES: Final = 20_000
 #: Addresses that a report passes on.
 PASSED_ON: Final = 3
 
@@ -46,21 +56,35 @@
     ----------
     own_host : str
         IPv4 address of this balancer.
+    data_centre : str
+        Data centre of this balancer.
     peers : dict of str to Peer
         By IPv4 address.
     in_flight : dict of int to int
         Requests in flight at live peers, by cookie.
     suspecting : dict of int to int
         Live peers that suspect an endpoint, by cookie.
-    next_target : int
-        Position of the round-robin over peers.
+    next_near, next_far : int
+        Positions of the round-robins over peers in the same data centre and
+        over all others.
+    saved_bytes : float
+        What may be sent in reports now.
+    saved_at : float
+        Seconds at which that was calculated.
+    round_seconds : float
+        Time in which every peer of another data centre gets one report.
     """
 
     own_host: str
+    data_centre: str = ''
     peers: dict[str, Peer] = field(default_factory=dict)
     in_flight: dict[int, int] = field(default_factory=dict)
     suspecting: dict[int, int] = field(default_factory=dict)
-    next_target: int = 0
+    next_near: int = 0
+    next_far: int = 0
+    saved_bytes: float = START_BYTES
+    saved_at: float = 0
+    round_seconds: float = 0
 
 
 def add_addresses(roster: Roster, hosts: Iterable[str], now: float) -> None:
@@ -116,9 +140,13 @@
     """
     lost: list[str] = []
     forgotten: list[str] = []
+    lifetime = max(
+        REPORT_LIFETIME_SECONDS,
+        REPORT_LIFETIME_ROUNDS * roster.round_seconds,
+    )
     for host, peer in roster.peers.items():
         silence = now - peer.heard_at
-        if peer.report is not None and silence > REPORT_LIFETIME_SECONDS:
+        if peer.report is not None and silence > lifetime:
             _withdraw(roster, peer)
             lost.append(host)
         if silence > ADDRESS_LIFETIME_SECONDS:
@@ -128,14 +156,52 @@
     return tuple(lost)
 
 
-def choose_targets(roster: Roster) -> tuple[str, ...]:
-    """Choose whom the next round of reports goes to, in turn."""
-    hosts = tuple(roster.peers)
-    if len(hosts) <= MOST_TARGETS:
-        return hosts
-    start = roster.next_target % len(hosts)
-    roster.next_target = start + MOST_TARGETS
-    return (hosts + hosts)[start : start + MOST_TARGETS]
+def choose_targets(
+    roster: Roster,
+    report_bytes: int,
+    now: float,
+) -> tuple[str, ...]:
+    """Choose whom a report goes to now, in turn and within the budget.
+
+    Parameters
+    ----------
+    roster : Roster
+        Changed in place.
+    report_bytes : int
+        Bytes of the report on the network.
+    now : float
+        Seconds of this balancer's clock.
+
+    Returns
+    -------
+    tuple of str
+        IPv4 addresses.
+    """
+    elapsed = min(now - roster.saved_at, SAVED_SECONDS)
+    roster.saved_at = now
+    most_saved = REPORT_BYTES_PER_SECOND * SAVED_SECONDS
+    roster.saved_bytes = max(
+        roster.saved_bytes,
+        min(
+            roster.saved_bytes + REPORT_BYTES_PER_SECOND * elapsed,
+            most_saved,
+        ),
+    )
+    near, far = _divide_peers(roster)
+    affordable = int(roster.saved_bytes // report_bytes)
+    near_count = min(
+        len(near),
+        max(int(affordable * NEAR_SHARE), affordable - len(far)),
+    )
+    far_count = min(len(far), affordable - near_count)
+    roster.saved_bytes -= (near_count + far_count) * report_bytes
+    far_bytes_per_second = REPORT_BYTES_PER_SECOND * (1 - NEAR_SHARE)
+    roster.round_seconds = len(far) * report_bytes / far_bytes_per_second
+    targets = _take(near, roster.next_near, near_count)
+    targets += _take(far, roster.next_far, far_count)
+    roster.next_near += near_count
+    roster.next_far += far_count
+    return targets
 
 
 def choose_passed_on(
@@ -178,6 +244,24 @@
     return [host for is_far, host in holders if is_far == nearest]
 
 
+def _divide_peers(roster: Roster) -> tuple[list[str], list[str]]:
+    """Return peers in the same data centre, and all others."""
+    near: list[str] = []
+    far: list[str] = []
+    for host, peer in roster.peers.items():
+        report = peer.report
+        is_near = (
+            report is not None and report.data_centre == roster.data_centre
+        )
+        (near if is_near else far).append(host)
+    return near, far
+
+
+def _take(hosts: list[str], position: int, count: int) -> tuple[str, ...]:
+    start = position % len(hosts) if hosts else 0
+    return tuple((hosts + hosts)[start : start + count])
+
+
 def _withdraw(roster: Roster, peer: Peer) -> None:
     if peer.report is not None:
         _count(roster, peer.report, -1)
--- a/balsamshed/peers/tests/test_roster.py
+++ b/balsamshed/peers/tests/test_roster.py
@@ -1,12 +1,19 @@
 """Tests of the roster of balancers."""
 
+from collections import Counter
+
+import pytest
+
 from balsamshed.edge.tests.builders import draw_lowest
 from balsamshed.peers.report import EndpointReport, Report
 from balsamshed.peers.roster import (
     ADDRESS_LIFETIME_SECONDS,
-    MOST_TARGETS,
     PASSED_ON,
+    REPORT_BYTES_PER_SECOND,
+    REPORT_LIFETIME_ROUNDS,
     REPORT_LIFETIME_SECONDS,
+    SAVED_SECONDS,
+    START_BYTES,
     Roster,
     add_addresses,
     choose_passed_on,
@@ -17,6 +24,10 @@
     rank_reader,
 )
 
+#: A report with some endpoints, in bytes on the network.
+REPORT_BYTES = 80
+REPORT = Report('a', 1, 0.1, (), ())
+
 
 def build_report(revision=1, data_centre='a', loads=(), peers=()):
     endpoints = tuple(EndpointReport(*load) for load in loads)
@@ -44,9 +55,9 @@
     assert roster.suspecting == {}
     assert rank_reader(roster) == 0
     # Its address is still tried: it may be cut off and come back.
-    assert choose_targets(roster) == ('10.0.0.1',)
+    assert choose_targets(roster, REPORT_BYTES, 2) == ('10.0.0.1',)
     expire_peers(roster, ADDRESS_LIFETIME_SECONDS + 1)
-    assert choose_targets(roster) == ()
+    assert choose_targets(roster, REPORT_BYTES, 99) == ()
 
 
 def test_addresses_spread_from_peer_to_peer():
@@ -66,17 +77,69 @@
     assert roster.in_flight == {}
 
 
-def test_reports_reach_every_peer_of_a_large_group_in_turn():
-    """Guards against peers that are never told, and against too much traffic."""
+@pytest.mark.parametrize('size', [1, 12, 100, 300])
+def test_reports_reach_every_peer_within_the_budget(size):
+    """Guards against peers that are never told, and against control traffic
+    that grows with the group."""
     roster = Roster('10.0.0.1')
-    hosts = {f'10.0.1.{number}' for number in range(100)}
-    add_addresses(roster, hosts, 0)
-    reached = set()
-    for _ in range(9):
-        targets = choose_targets(roster)
-        assert len(targets) == MOST_TARGETS
+    hosts = {f'10.0.{number // 250}.{number % 250}' for number in range(size)}
+    add_addresses(roster, hosts - {'10.0.0.1'}, 0)
+    reached, sent = set(), 0
+    for tick in range(1, 101):
+        targets = choose_targets(roster, REPORT_BYTES, tick / 10)
+        assert len(set(targets)) == len(targets)
         reached.update(targets)
-    assert reached == hosts
+        sent += len(targets) * REPORT_BYTES
+    assert reached == hosts - {'10.0.0.1'}
+    budget = 10 * REPORT_BYTES_PER_SECOND + START_BYTES
+    assert sent <= budget
+
+
+def test_peers_in_the_same_data_centre_are_told_more_often():
+    """Guards against placement that hears of a neighbour's load too late."""
+    roster = Roster('10.0.0.1', 'a', saved_bytes=0)
+    for number in range(12):
+        report = build_report(data_centre='a' if number < 3 else 'b')
+        note_report(roster, f'10.0.1.{number}', report, 0)
+    told = Counter()
+    for tick in range(1, 101):
+        told.update(choose_targets(roster, REPORT_BYTES, tick / 10))
+    near = [told[f'10.0.1.{number}'] for number in range(3)]
+    far = [told[f'10.0.1.{number}'] for number in range(3, 12)]
+    assert min(near) > 2 * max(far)
+    assert min(far) >= 10
+    assert max(far) - min(far) <= 1
+
+
+def test_start_is_told_to_every_peer_at_once():
+    """Guards against a whole group that starts and places flows blindly."""
+    roster = Roster('10.0.0.1', 'a')
+    hosts = [f'10.0.1.{number}' for number in range(12)]
+    add_addresses(roster, hosts, 0)
+    for tick in range(1, 11):
+        assert set(choose_targets(roster, REPORT_BYTES, tick / 10)) == {*hosts}
+
+
+def test_pause_does_not_end_in_a_burst_of_reports():
+    """Guards against a link that is filled when a machine wakes."""
+    roster = Roster('10.0.0.1', saved_bytes=0)
+    add_addresses(roster, [f'10.0.1.{number}' for number in range(200)], 0)
+    targets = choose_targets(roster, REPORT_BYTES, 60)
+    assert (
+        len(targets) <= REPORT_BYTES_PER_SECOND * SAVED_SECONDS / REPORT_BYTES
+    )
+
+
+def test_peers_of_a_large_group_are_not_lost_between_their_reports():
+    """Guards against ranks of readers that change with each round."""
+    roster = Roster('10.0.0.1')
+    for number in range(300):
+        note_report(roster, f'10.1.{number // 250}.{number % 250}', REPORT, 0)
+    choose_targets(roster, REPORT_BYTES, 0.1)
+    assert roster.round_seconds > REPORT_LIFETIME_SECONDS
+    assert expire_peers(roster, 2 * roster.round_seconds) == ()
+    late = REPORT_LIFETIME_ROUNDS * roster.round_seconds + 0.1
+    assert len(expire_peers(roster, late)) == 300
 
 
 def test_report_passes_on_few_addresses():
