Let replicas of the soak's store lag behind

A balancer that starts reads a replica first. The soak has no excuse for a balancer that believes it longer than a drain may take, and a test of real processes starts one while the replica lags for good.

--- a/testbed/metadata_store.py
+++ b/testbed/metadata_store.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform's metadata store, with faults.
 
 It lists objects of a kind in pages, with one revision for all changes, as the
-platform's page on the store describes. One loop serves it together with
+platform's page on the store describes; reads that may be stale come from a
+replica, which may lag. One loop serves it together with
 whatever else a test needs.
 """
 
@@ -16,6 +17,22 @@
 _PREFIX = '/v1/objects/'
 
 
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Objects at one revision.
+
+    Parameters
+    ----------
+    revision : int
+        The revision.
+    kinds : dict
+        Objects by kind and name.
+    """
+
+    revision: int
+    kinds: dict[str, dict[str, Any]]
+
+
 @dataclass(slots=True)
 class MetadataStore:
     """Objects by kind and name.
@@ -30,6 +47,8 @@
         Status of every response; not 200 while the store is out of order.
     kinds : dict
         Objects by kind and name.
+    replica : Snapshot or None
+        What reads that may be stale show; None while the replica is current.
     calls : int
         Calls so far.
     """
@@ -38,6 +57,7 @@
     page_size: int = 50
     status: int = 200
     kinds: dict[str, dict[str, Any]] = field(default_factory=dict)
+    replica: Snapshot | None = None
     calls: int = 0
 
 
@@ -57,20 +77,29 @@
     del store.kinds[kind][name]
 
 
+def take_snapshot(store: MetadataStore) -> Snapshot:
+    """Return the objects as they are now."""
+    kinds = {kind: dict(objects) for kind, objects in store.kinds.items()}
+    return Snapshot(store.revision, kinds)
+
+
 def answer_call(store: MetadataStore, target: str) -> HttpAnswer:
     """Answer a list call."""
     store.calls += 1
     parts = urlsplit(target)
     if store.status != 200 or not parts.path.startswith(_PREFIX):
         return HttpAnswer(store.status if store.status != 200 else 404)
-    after = parse_qs(parts.query).get('after', [''])[0]
-    objects = store.kinds.get(parts.path.removeprefix(_PREFIX), {})
+    query = parse_qs(parts.query)
+    after = query.get('after', [''])[0]
+    may_be_stale = query.get('serializable') == ['1']
+    source = store.replica if may_be_stale and store.replica else store
+    objects = source.kinds.get(parts.path.removeprefix(_PREFIX), {})
     names = sorted(name for name in objects if name > after)
     page = names[: store.page_size]
     body = {
         'items': [objects[name] for name in page],
         'hasMore': len(page) < len(names),
-        'currentRev': store.revision,
+        'currentRev': source.revision,
     }
     return HttpAnswer(200, json.dumps(body).encode(), 'application/json')
 
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -30,7 +30,7 @@
     get_host,
     open_site,
 )
-from testbed.metadata_store import delete_object
+from testbed.metadata_store import delete_object, take_snapshot
 from testbed.soak_oracle import (
     Delivery,
     History,
@@ -394,6 +394,15 @@
     soak.troubles.append((begin, soak.now(), 0))
 
 
+async def _lag_replica(soak: Soak, fault: Fault) -> None:
+    """Reads that may be stale show the past: no excuse for anybody."""
+    store = soak.site.store
+    if store.replica is None:
+        store.replica = take_snapshot(store)
+        await asyncio.sleep(fault.seconds)
+        store.replica = None
+
+
 async def _harm_connection(soak: Soak, fault: Fault) -> None:
     begin = soak.now()
     proxy = soak.proxies[fault.target]
@@ -429,6 +438,7 @@
     'end_store': _end_store,
     'harm_connection': _harm_connection,
     'kill': _kill,
+    'lag_replica': _lag_replica,
     'lapse': _lapse,
     'pause': _pause,
     'reload': _reload,
--- a/testbed/tests/test_edge_processes.py
+++ b/testbed/tests/test_edge_processes.py
@@ -22,6 +22,7 @@
     open_site,
     wait_until,
 )
+from testbed.metadata_store import take_snapshot
 
 
 async def check_whole_path(site):
@@ -225,3 +226,24 @@
     """Guards against a balancer that needs a restart to find its store."""
     with open_site(tmp_path) as site:
         asyncio.run(check_reload(site, sends_signal))
+
+
+async def check_lagging_replica(site):
+    await site.start_store()
+    await site.start_endpoint(1)
+    await site.start_endpoint(2)
+    site.store.replica = take_snapshot(site.store)
+    site.write_entry(1, 'draining')
+    host = site.start_balancer(1)
+    await wait_until(lambda: site.is_ready(host), 'ready')
+    # A drain is in force after 3 s on every balancer.
+    await asyncio.sleep(3)
+    site.endpoints[1].received.clear()
+    numbers = {(await open_flow(site, host, 7000 + n))[0] for n in range(8)}
+    assert numbers == {2}
+
+
+def test_start_from_a_lagging_replica_learns_of_drains(tmp_path):
+    """Guards against a balancer that believes its first, stale view."""
+    with open_site(tmp_path) as site:
+        asyncio.run(check_lagging_replica(site))
