Ask the owner of a flow that its asker does not know yet

A member that still misses the other side asked one that knew it, and that answered "not here" instead of asking the owner; the request was reset 3 ms after its SYN. Ruled out: refusals by limits (the resets came within one round trip of data). Change: a lookup that ends goes on to the owner in the last member's view. The owner ranks higher in both views, so lookups never circle.

--- a/balsamshed/node/tests/test_traffic.py
+++ b/balsamshed/node/tests/test_traffic.py
@@ -1,10 +1,11 @@
 """Guards against flows that break, move or run twice."""
 
 from balsamshed.flows.messages import FlowCopies, FlowCopy
-from balsamshed.flows.packets import TcpFlag
+from balsamshed.flows.packets import Relay, RelayKind, TcpFlag
 from balsamshed.limits.limiter import Outcome
 from balsamshed.members.history import replace_ownership
 from balsamshed.members.member import Member
+from balsamshed.members.ownership import get_hash_slot
 from balsamshed.node.dispatch import handle_event
 from balsamshed.node.effects import (
     CountEvent,
@@ -28,6 +29,7 @@
     make_server,
     make_service,
     receive,
+    receive_relay,
     tick,
 )
 
@@ -206,3 +208,26 @@
     assert len(node.flows.placements) == 10
     open_flow(node, caller_port=3000)
     assert node.limiters['creneau/requests'].open_count == 1
+
+
+def test_lookup_goes_on_to_an_owner_that_the_asker_does_not_know():
+    """When a partition healed, a member that knew of one side only reset the
+    requests that the other side had placed."""
+    node = make_node()
+    others = [Member(f'lb-{n}', 'qc-1', '127.0.0.1', 3, 4) for n in (2, 3)]
+    replace_ownership(node.history, (node.membership.own, *others), 1.0)
+    packets = [make_packet(ACK, caller_port=port) for port in range(200)]
+    asked_on, returned = set(), set()
+    for packet in packets:
+        relay = Relay(RelayKind.LOOKUP, 'lb-2', (), packet)
+        (effect,) = receive_relay(node, relay, 1.1)
+        owner = node.ownership.owners[get_hash_slot(packet.flow_key)]
+        if effect.relay.kind is RelayKind.RETURNED:
+            assert effect.member == 'lb-2'
+            returned.add(owner)
+        else:
+            assert effect.member == owner
+            assert effect.relay == relay
+            asked_on.add(owner)
+    assert asked_on == {'lb-3'}
+    assert returned == {'lb-1', 'lb-2'}
--- a/balsamshed/node/traffic.py
+++ b/balsamshed/node/traffic.py
@@ -223,13 +223,24 @@
         if flow_key not in node.flows.ended:
             _hand_over(node, flow_key, relay.asker, now)
         return effects
-    if relay.chain:
-        onward = Relay(relay.kind, relay.asker, relay.chain[1:], packet)
-        return (SendRelay(relay.chain[0], onward),)
+    chain = relay.chain or _list_unknown_owner(node, relay)
+    if chain:
+        onward = Relay(relay.kind, relay.asker, chain[1:], packet)
+        return (SendRelay(chain[0], onward),)
     returned = Relay(RelayKind.RETURNED, relay.asker, (), packet)
     return (SendRelay(relay.asker, returned),)
 
 
+def _list_unknown_owner(node: Node, relay: Relay) -> tuple[str, ...]:
+    """Return the owner of a flow that its asker does not know, if any.
+
+    After a partition, members learn of each other one by one. The owner ranks
+    higher than this member in both views, so that a lookup never returns.
+    """
+    owner = node.ownership.owners[get_hash_slot(relay.packet.flow_key)]
+    return () if owner in {node.name, relay.asker} else (owner,)
+
+
 def _hand_over(node: Node, flow_key: bytes, asker: str, now: float) -> None:
     """Give the entry of an open flow to the owner that asked for it."""
     placement = node.flows.placements.get(flow_key)
