Count changes as of the newest page that may have shown them

Cause, found by reading: the pages of a list come at different revisions, and a list stands for the lowest. A drain on a later page was remembered at that lowest revision, so that a peer which knew it exactly never got the drain, and confirmed its view all the same. Ruled out: a lower revision in a confirmation (peers compare equal ones only). Change: views carry the highest revision that some endpoints may show, and changes count as those of it.

--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -47,10 +47,12 @@
     if isinstance(view, EndpointView):
         return {
             'revision': view.revision,
+            'newest': view.newest,
             'endpoints': _list_rows(view.endpoints),
         }
     return {
         'revision': view.revision,
+        'newest': view.newest,
         'base': view.base,
         'endpoints': _list_rows(view.present),
         'removed': view.removed,
@@ -93,13 +95,13 @@
 
 
 def _build_endpoints(document: Any) -> EndpointView | EndpointChanges:
-    revision = int(document['revision'])
+    revision, newest = int(document['revision']), int(document['newest'])
     endpoints = tuple(Endpoint(*row) for row in document['endpoints'])
     if 'base' not in document:
-        return EndpointView(revision, endpoints)
+        return EndpointView(revision, endpoints, newest)
     removed = tuple(document['removed'])
     base = int(document['base'])
-    return EndpointChanges(base, revision, endpoints, removed)
+    return EndpointChanges(base, revision, endpoints, removed, newest)
 
 
 def _build_routes(document: Any) -> RouteTable:
--- a/balsamshed/edge/tests/builders.py
+++ b/balsamshed/edge/tests/builders.py
@@ -33,7 +33,7 @@
 
 def build_view(revision, *endpoints):
     """Return a view of endpoints."""
-    return EndpointView(revision, endpoints)
+    return EndpointView(revision, endpoints, revision)
 
 
 def build_table(version, **services):
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -163,7 +163,7 @@
     read_store(edge, build_view(1, first, second), build_table(1), 0)
     draining = build_endpoint(2, is_draining=True)
     read_store(edge, build_view(2, draining), build_table(1), 1)
-    changes = EndpointChanges(1, 2, (draining,), (first.instance,))
+    changes = EndpointChanges(1, 2, (draining,), (first.instance,), 2)
     assert get_view(edge, 1, 1) == StoreView(changes, None)
     assert get_view(edge, 1, 0).routes == build_table(1)
     assert get_view(edge, 0, 1).endpoints == build_view(2, draining)
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -174,6 +174,7 @@
     endpoints = list_changes(history, revision, known) or EndpointView(
         known,
         tuple(history.listed.values()),
+        history.newest,
     )
     return StoreView(endpoints, routes if routes.version > version else None)
 
--- a/balsamshed/endpoints/directory.py
+++ b/balsamshed/endpoints/directory.py
@@ -46,13 +46,17 @@
     Parameters
     ----------
     revision : int
-        Revision that the view shows; a higher one is newer.
+        Revision that the view shows at least; a higher one is newer.
     endpoints : tuple of Endpoint
         The endpoints, in any order.
+    newest : int
+        Revision that some endpoints may show, if it is higher: the pages of
+        a list come one after the other.
     """
 
     revision: int
     endpoints: tuple[Endpoint, ...]
+    newest: int = -1
 
 
 @dataclass(slots=True)
--- a/balsamshed/endpoints/history.py
+++ b/balsamshed/endpoints/history.py
@@ -29,12 +29,15 @@
         Endpoints of the later view that are new or different.
     removed : tuple of int
         Identities that the later view lacks.
+    newest : int
+        Revision that some of them may show, if it is higher.
     """
 
     base: int
     revision: int
     present: tuple[Endpoint, ...]
     removed: tuple[int, ...]
+    newest: int = -1
 
 
 @dataclass(slots=True)
@@ -47,15 +50,20 @@
         Every change after this revision is remembered; -1 without a view.
     revision : int
         Revision of the last view; -1 without one.
+    newest : int
+        Highest revision that any endpoint of the views may show. Changes
+        count as those of this revision, since a peer that knows an earlier
+        one exactly may lack them.
     listed : dict of int to Endpoint
         Endpoints of the last view, by identity.
     changed_at : dict of int to int
-        Revision at which an identity was first seen in its present state or
-        was first missing; the latest change is the last entry.
+        Latest revision at which an identity may have got into its present
+        state or gone missing; the latest change is the last entry.
     """
 
     start: int = -1
     revision: int = -1
+    newest: int = -1
     listed: dict[int, Endpoint] = field(default_factory=dict)
     changed_at: dict[int, int] = field(default_factory=dict)
 
@@ -65,13 +73,14 @@
     if view.revision < history.revision:
         return
     listed = {endpoint.instance: endpoint for endpoint in view.endpoints}
+    history.newest = max(history.newest, view.newest, view.revision)
     if history.start < 0:
-        history.start = view.revision
+        history.start = history.newest
     else:
         for instance in tuple(_list_different(history.listed, listed)):
             # The identity moves to the end: entries stay in order.
             history.changed_at.pop(instance, None)
-            history.changed_at[instance] = view.revision
+            history.changed_at[instance] = history.newest
     history.listed = listed
     history.revision = view.revision
     while len(history.changed_at) > MOST_CHANGES:
@@ -112,7 +121,13 @@
             removed.append(instance)
         else:
             present.append(endpoint)
-    return EndpointChanges(base, revision, tuple(present), tuple(removed))
+    return EndpointChanges(
+        base,
+        revision,
+        tuple(present),
+        tuple(removed),
+        history.newest,
+    )
 
 
 def merge_changes(
@@ -129,7 +144,11 @@
         merged.pop(instance, None)
     for endpoint in changes.present:
         merged[endpoint.instance] = endpoint
-    return EndpointView(changes.revision, tuple(merged.values()))
+    return EndpointView(
+        changes.revision,
+        tuple(merged.values()),
+        changes.newest,
+    )
 
 
 def _list_different(
--- a/balsamshed/endpoints/tests/test_history.py
+++ b/balsamshed/endpoints/tests/test_history.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from balsamshed.edge.tests.builders import build_endpoint, build_view
+from balsamshed.endpoints.directory import EndpointView
 from balsamshed.endpoints.history import (
     MOST_CHANGES,
     ViewHistory,
@@ -102,3 +103,29 @@
     assert list_changes(history, history.start - 1, history.revision) is None
     last = list_changes(history, history.revision - 1, history.revision)
     assert last.removed == (history.revision - 1,)
+
+
+def test_change_that_a_page_showed_early_is_passed_on():
+    """The pages of a list come at different revisions. A drain at revision
+    12, seen on the last page of a list that stands for 10, has to reach a
+    peer that knows revision 10 or 11 exactly."""
+    ready, draining = build_endpoint(1), build_endpoint(1, is_draining=True)
+    for first in ([], [build_view(9, ready)]):
+        history = ViewHistory()
+        for view in first:
+            note_view(history, view)
+        note_view(history, EndpointView(10, (draining,), newest=12))
+        note_view(history, build_view(20, draining))
+        for base in (10, 11):
+            changes = list_changes(history, base, 20)
+            assert changes is None or changes.present == (draining,)
+
+
+def test_early_change_is_passed_on_by_the_next_balancer():
+    """Guards against a revision that is lost on the way to a third one."""
+    ready, draining = build_endpoint(1), build_endpoint(1, is_draining=True)
+    first, second = build_history([ready]), build_history([ready])
+    note_view(first, EndpointView(10, (draining,), newest=12))
+    note_view(second, merge_changes(second, list_changes(first, 1, 10)))
+    note_view(second, build_view(20, draining))
+    assert list_changes(second, 11, 20).present == (draining,)
--- a/balsamshed/front_ends/source_reader.py
+++ b/balsamshed/front_ends/source_reader.py
@@ -47,10 +47,13 @@
         Decoded objects of all pages.
     revision : int
         Revision that every page shows at least.
+    newest : int
+        Highest revision that a page shows.
     """
 
     items: tuple[Any, ...]
     revision: int
+    newest: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +115,9 @@
         if page.next_after and len(revisions) < MOST_PAGES:
             request_page(page.next_after)
         else:
-            take_listing(SourceListing(tuple(items), min(revisions)))
+            take_listing(
+                SourceListing(tuple(items), min(revisions), max(revisions)),
+            )
 
     request_page('')
 
--- a/balsamshed/platform/tests/test_calls.py
+++ b/balsamshed/platform/tests/test_calls.py
@@ -51,7 +51,7 @@
 def test_unreadable_entries_do_not_hide_the_others():
     """Guards against a service without endpoints because of one entry."""
     items = (build_entry(), build_entry('i-3', state='odd'), 'nonsense')
-    view, rejected = decode_endpoints(SourceListing(items, 9))
+    view, rejected = decode_endpoints(SourceListing(items, 9, 9))
     assert [endpoint.instance for endpoint in view.endpoints] == [0x2FA0]
     assert rejected == ('i-3:state', ':id')
 
@@ -59,11 +59,12 @@
 def test_configuration_is_found_by_its_name():
     """Guards against routes from another object of the same kind."""
     other = {**build_configuration(), 'meta': {'name': 'draft'}}
-    listing = SourceListing((other, build_configuration(version=9)), 9)
+    listing = SourceListing((other, build_configuration(version=9)), 9, 9)
     assert decode_configuration(listing).version == 9
     assert (
-        decode_configuration(SourceListing((other,), 9)) == 'no_configuration'
+        decode_configuration(SourceListing((other,), 9, 9))
+        == 'no_configuration'
     )
     broken = build_configuration(routes=None)
-    listing = SourceListing((broken,), 9)
+    listing = SourceListing((broken,), 9, 9)
     assert decode_configuration(listing) == 'invalid_routes'
--- a/balsamshed/platform/wire.py
+++ b/balsamshed/platform/wire.py
@@ -53,7 +53,8 @@
             rejected.append(f'{entry.name}:{entry.field}')
         else:
             endpoints.append(entry)
-    return EndpointView(listing.revision, tuple(endpoints)), tuple(rejected)
+    view = EndpointView(listing.revision, tuple(endpoints), listing.newest)
+    return view, tuple(rejected)
 
 
 def decode_configuration(listing: SourceListing) -> RouteTable | str:
