Show what edge balancers believe, and who lags behind

Each edge balancer serves a summary beside its metrics: version in force and since when, revision and age of its view, endpoints and peers. The command edge-status asks one balancer and its peers, and names who lacks the newest version and for how long. The code is loaded by the first request, as that of the metrics.

--- a/balsamshed/commands/catalogue.py
+++ b/balsamshed/commands/catalogue.py
@@ -11,6 +11,7 @@
     remove_quiet_period,
     undrain,
 )
+from balsamshed.commands.edges import edge_status
 from balsamshed.commands.local import (
     check_edge_settings,
     check_settings,
@@ -33,6 +34,7 @@
     {
         'check-settings': check_settings,
         'check-edge-settings': check_edge_settings,
+        'edge-status': edge_status,
         'story': story,
         'show-defaults': show_defaults,
         'apply': apply,
--- /dev/null
+++ b/balsamshed/commands/tests/test_edges.py
@@ -0,0 +1,45 @@
+"""Guards against a lagging balancer that operators do not hear of."""
+
+from balsamshed.commands.edges import Unreachable, find_laggards
+
+
+def build_summary(**changes):
+    return {
+        'version': 7,
+        'version_seconds': 4.0,
+        'revision': 20,
+        'age_seconds': 0.5,
+        'is_ready': True,
+        **changes,
+    }
+
+
+def test_balancers_that_agree_have_no_findings():
+    """Guards against alarms that mean nothing."""
+    found = {'a': build_summary(), 'b': build_summary(version_seconds=3.0)}
+    assert find_laggards(found) == {'a': [], 'b': []}
+
+
+def test_laggard_is_named_with_what_it_lacks_and_since_when():
+    """Guards against an old configuration that looks like the newest."""
+    found = {
+        'a': build_summary(),
+        'b': build_summary(version=5, version_seconds=60.0),
+    }
+    assert find_laggards(found)['b'] == ['lacks version 7 for 4.0 s']
+
+
+def test_every_finding_is_reported_together():
+    """Guards against faults that hide behind the first one."""
+    found = {
+        'a': build_summary(age_seconds=9.04, is_ready=False),
+        'b': build_summary(age_seconds=None, version_seconds=None, version=-1),
+        'c': Unreachable('c', 'timed out'),
+    }
+    findings = find_laggards(found)
+    assert findings['a'] == ['view is 9.0 s old', 'not ready']
+    assert findings['b'] == [
+        'lacks version 7 for 4.0 s',
+        'view was never confirmed',
+    ]
+    assert findings['c'] == ['timed out']
--- a/balsamshed/commands/tests/test_reference.py
+++ b/balsamshed/commands/tests/test_reference.py
@@ -90,6 +90,7 @@
     local = {
         'check-settings',
         'check-edge-settings',
+        'edge-status',
         'story',
         'show-defaults',
         'version',
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -37,6 +37,8 @@
         Seconds of the start.
     history : ViewHistory
         Last view of the store's endpoints and its changes.
+    routes_since : float or None
+        Time at which the routes came into force.
     leaving_since : float or None
         Time of the request to stop.
     last_packet_at : float
@@ -62,6 +64,7 @@
     grace_seconds: float
     started_at: float
     history: ViewHistory = field(default_factory=ViewHistory)
+    routes_since: float | None = None
     leaving_since: float | None = None
     last_packet_at: float = 0
     last_tick_at: float = 0
--- /dev/null
+++ b/balsamshed/edge/summaries.py
@@ -0,0 +1,139 @@
+"""What an edge balancer tells operators about itself."""
+
+from dataclasses import dataclass
+
+from balsamshed.edge.state import Edge
+from balsamshed.endpoints.endpoint import Endpoint
+from balsamshed.store.reading import get_age
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointSummary:
+    """An endpoint as one balancer sees it.
+
+    Parameters
+    ----------
+    endpoint : str
+        Identity in hex digits.
+    service : str
+        Service that it serves.
+    address : str
+        Host and port.
+    data_centre : str
+        Data centre that it runs in.
+    state : str
+        ``ready``, ``draining``, or ``missing`` if its entry lapsed with the
+        store and it is kept for the time being.
+    is_suspected : bool
+        Whether new flows avoid it since it left openings unanswered.
+    in_flight : int
+        Requests in flight, of this balancer and its peers.
+    """
+
+    endpoint: str
+    service: str
+    address: str
+    data_centre: str
+    state: str
+    is_suspected: bool
+    in_flight: int
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeSummary:
+    """An edge balancer at one moment.
+
+    Parameters
+    ----------
+    name : str
+        Name of the balancer.
+    data_centre : str
+        Data centre that it runs in.
+    is_ready : bool
+        Whether it asks for traffic.
+    version : int
+        Version of the configuration in force; -1 without one.
+    version_seconds : float or None
+        Time since that version came into force.
+    revision : int
+        Revision of the store that its view shows; -1 without a view.
+    age_seconds : float or None
+        Time since the store confirmed the view; None if it never did.
+    routes : int
+        Routes in force.
+    endpoints : tuple of EndpointSummary
+        Known endpoints, by service and address.
+    peers : tuple of str
+        IPv4 addresses of the balancers that it hears.
+    """
+
+    name: str
+    data_centre: str
+    is_ready: bool
+    version: int
+    version_seconds: float | None
+    revision: int
+    age_seconds: float | None
+    routes: int
+    endpoints: tuple[EndpointSummary, ...]
+    peers: tuple[str, ...]
+
+
+def summarize_edge(edge: Edge, name: str, now: float) -> EdgeSummary:
+    """Summarize a balancer.
+
+    Parameters
+    ----------
+    edge : Edge
+        State.
+    name : str
+        Name of the balancer.
+    now : float
+        Seconds of the balancer's clock.
+    """
+    routes = edge.steering.routes
+    endpoints = [
+        _summarize_endpoint(edge, endpoint)
+        for endpoint in edge.steering.directory.endpoints.values()
+    ]
+    has_age = edge.reads.confirmed_at is not None
+    since = edge.routes_since
+    return EdgeSummary(
+        name=name,
+        data_centre=edge.data_centre,
+        is_ready=edge.was_ready and edge.leaving_since is None,
+        version=routes.version,
+        version_seconds=None if since is None else now - since,
+        revision=edge.reads.revision,
+        age_seconds=get_age(edge.reads, now) if has_age else None,
+        routes=len(routes.routes),
+        endpoints=tuple(sorted(endpoints, key=_get_place)),
+        peers=tuple(
+            sorted(
+                host
+                for host, peer in edge.roster.peers.items()
+                if peer.report is not None
+            ),
+        ),
+    )
+
+
+def _summarize_endpoint(edge: Edge, endpoint: Endpoint) -> EndpointSummary:
+    board = edge.steering.board
+    cookie = endpoint.cookie
+    state = 'draining' if endpoint.is_draining else 'ready'
+    if endpoint.instance in edge.steering.directory.missing_since:
+        state = 'missing'
+    return EndpointSummary(
+        endpoint=f'{endpoint.instance:x}',
+        service=endpoint.service,
+        address=f'{endpoint.host}:{endpoint.port}',
+        data_centre=endpoint.data_centre,
+        state=state,
+        is_suspected=cookie in edge.suspects,
+        in_flight=board.own.get(cookie, 0) + board.peers.get(cookie, 0),
+    )
+
+
+def _get_place(summary: EndpointSummary) -> tuple[str, str]:
+    return summary.service, summary.address
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -71,7 +71,7 @@
     now: float,
 ) -> list[EdgeEffect]:
     """Take over the routes that the store has, unless they are older."""
-    effects = _apply_routes(edge.steering, table)
+    effects = _apply_routes(edge, table, now)
     effects.extend(_finish(edge))
     return effects + _note_readiness(edge, now)
 
@@ -146,7 +146,7 @@
         endpoints = merge_changes(edge.history, endpoints)
     effects: list[EdgeEffect] = []
     if view.routes is not None:
-        effects.extend(_apply_routes(edge.steering, view.routes))
+        effects.extend(_apply_routes(edge, view.routes, now))
     effects.extend(_apply_endpoints(edge, endpoints, now))
     # A report of the same revision confirms it; without one the store is read.
     adopt_revision(edge.reads, endpoints.revision, now)
@@ -223,12 +223,14 @@
 
 
 def _apply_routes(
-    steering: Steering,
+    edge: Edge,
     table: RouteTable,
+    now: float,
 ) -> list[EdgeEffect]:
-    former = steering.routes.version
+    former = edge.steering.routes.version
     fields = {'version': table.version, 'former_version': former}
-    if replace_routes(steering, table):
+    if replace_routes(edge.steering, table):
+        edge.routes_since = now
         fields['routes'] = len(table.routes)
         return [WriteEvent('routes_changed', fields)]
     if table.version < former:
--- a/balsamshed/front_ends/edge_process.py
+++ b/balsamshed/front_ends/edge_process.py
@@ -40,6 +40,8 @@
 SETTINGS_SECONDS: Final = 2.0
 #: Path of the metrics.
 METRICS_PATH: Final = '/metrics'
+#: Path of the summary for operators, at the same address.
+SUMMARY_PATH: Final = '/summary'
 
 _OK: Final = 200
 
@@ -69,7 +71,7 @@
     if settings.peer_ports:
         open_peer_port(process)
     listen(process, settings.ready, partial(_answer_readiness, process))
-    listen(process, settings.metrics, partial(_answer_metrics, process))
+    listen(process, settings.metrics, partial(_answer_operators, process))
 
     def check_settings() -> None:
         # The file may also change without a signal.
@@ -146,10 +148,15 @@
     return HttpAnswer(_OK if accepts_traffic(process.edge) else 503)
 
 
-def _answer_metrics(process: EdgeProcess, target: str) -> HttpAnswer:
-    if target != METRICS_PATH:
-        return HttpAnswer(404)
-    # The library is loaded by the first fetch: it takes 7 MB.
-    from balsamshed.front_ends.edge_metrics import render_metrics
+def _answer_operators(process: EdgeProcess, target: str) -> HttpAnswer:
+    # What operators ask for is loaded by the first request: it takes 7 MB.
+    if target == METRICS_PATH:
+        from balsamshed.front_ends.edge_metrics import render_metrics
+
+        content_type = 'text/plain; version=0.0.4'
+        return HttpAnswer(_OK, render_metrics(process), content_type)
+    if target == SUMMARY_PATH:
+        from balsamshed.front_ends.edge_summary import render_summary
 
-    return HttpAnswer(_OK, render_metrics(process), 'text/plain; version=0.0.4')
+        return HttpAnswer(_OK, render_summary(process), 'application/json')
+    return HttpAnswer(404)
--- a/testbed/tests/test_edge_processes.py
+++ b/testbed/tests/test_edge_processes.py
@@ -1,6 +1,7 @@
 """Edge balancers as real processes against the project's own stand-ins."""
 
 import asyncio
+import json
 import os
 import signal
 import subprocess
@@ -8,6 +9,7 @@
 
 import pytest
 
+from balsamshed.commands.program import run_program
 from balsamshed.edge.lifecycle import TICK_SECONDS
 from balsamshed.store.reading import UNCONFIRMED_SECONDS
 from testbed.edge_site import (
@@ -247,3 +249,37 @@
     """Guards against a balancer that believes its first, stale view."""
     with open_site(tmp_path) as site:
         asyncio.run(check_lagging_replica(site))
+
+
+async def check_edge_status(site, capsys):
+    await site.start_store()
+    await site.start_endpoint(1)
+    await site.start_endpoint(2)
+    site.write_entry(2, 'draining')
+    hosts = [site.start_balancer(number) for number in (1, 2)]
+    for host in hosts:
+        await wait_until(lambda host=host: site.is_ready(host), 'ready')
+    await asyncio.sleep(1)
+    loop = asyncio.get_running_loop()
+
+    async def run_command(*arguments):
+        command = ['edge-status', f'{hosts[0]}:{site.metrics_port}', *arguments]
+        status = await loop.run_in_executor(None, run_program, command)
+        return status, capsys.readouterr().out
+
+    status, text = await run_command()
+    assert status == 0, text
+    assert text.count(' yes ') == 2
+    assert text.count(' 1/2 ') == 2
+    site.processes[2].kill()
+    status, text = await run_command('--output', 'json')
+    assert status == 1
+    second = json.loads(text)[1]
+    assert second['address'] == f'{hosts[1]}:{site.metrics_port}'
+    assert second['findings']
+
+
+def test_operators_see_what_balancers_believe(tmp_path, capsys):
+    """Guards against a site that can only be judged by its logs."""
+    with open_site(tmp_path) as site:
+        asyncio.run(check_edge_status(site, capsys))
