Show edge balancers in the demonstration

make demo now also kills an edge balancer and drains an endpoint while flows are open, and shows edge-status.

--- /dev/null
+++ b/testbed/checks.py
@@ -0,0 +1,45 @@
+"""Checks of a demonstration, shown as a table."""
+
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """A line of the table.
+
+    Parameters
+    ----------
+    name : str
+        What was counted.
+    found : str
+        What was found.
+    is_good : bool
+        Whether that is allowed.
+    """
+
+    name: str
+    found: str
+    is_good: bool
+
+
+def print_checks(checks: Sequence[Check]) -> int:
+    """Print the table.
+
+    Returns
+    -------
+    int
+        Exit status: 1 if a check failed.
+    """
+    width = max(len(check.name) for check in checks)
+    for check in checks:
+        verdict = 'ok' if check.is_good else 'FAILED'
+        write_line(f'{check.name:<{width}}  {check.found:<16}  {verdict}')
+    return int(not all(check.is_good for check in checks))
+
+
+def write_line(text: str) -> None:
+    """Print a line at once."""
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
--- a/testbed/demo.py
+++ b/testbed/demo.py
@@ -1,7 +1,8 @@
 """Demonstration of the whole path, on loopback and with test doubles.
 
 Run it with ``make demo``. It exits with 1 if a feed broke, a packet reached
-the wrong service, a request ran twice, or a request got no answer.
+the wrong service, a request ran twice, or a request got no answer. Edge
+balancers follow, see `testbed.edge_demo`.
 """
 
 import json
@@ -9,9 +10,10 @@
 import time
 from collections.abc import Iterator
 from contextlib import ExitStack
-from dataclasses import dataclass
 from typing import Any, Final
 
+from testbed.checks import Check, print_checks, write_line
+from testbed.edge_demo import list_edge_checks
 from testbed.fleet import (
     CRENEAU,
     FEED_PORT,
@@ -48,25 +50,6 @@
 _EXIT_SECONDS: Final = 20
 
 
-@dataclass(frozen=True, slots=True)
-class Check:
-    """A line of the table.
-
-    Parameters
-    ----------
-    name : str
-        What was counted.
-    found : str
-        What was found.
-    is_good : bool
-        Whether that is allowed.
-    """
-
-    name: str
-    found: str
-    is_good: bool
-
-
 def run_demo() -> int:
     """Run the demonstration and print its table.
 
@@ -85,7 +68,7 @@
             time.sleep(DRAIN_AFTER_SECONDS)
             drained_at = time.time()
             exit_status, output = run_operator(fleet, 'drain', _DRAINED)
-            _write(f'$ balsamshed drain {_DRAINED}\n{output.strip()}')
+            write_line(f'$ balsamshed drain {_DRAINED}\n{output.strip()}')
             reports = {
                 name: _read_report(process)
                 for name, process in processes.items()
@@ -96,8 +79,9 @@
                 'drain command', f'exit status {exit_status}', not exit_status
             ),
         )
-        _write(run_operator(fleet, 'status')[1].strip())
-    return _print_table(checks)
+        write_line(run_operator(fleet, 'status')[1].strip())
+    checks.extend(list_edge_checks())
+    return print_checks(checks)
 
 
 def _start(fleet: Fleet) -> None:
@@ -108,7 +92,9 @@
         objects.extend(build_objects(plan, start_servers(fleet, plan)))
     apply_objects(fleet, objects)
     wait_until_ready(fleet)
-    _write(f'{len(BALANCERS)} balancers ready, {len(objects)} objects applied')
+    write_line(
+        f'{len(BALANCERS)} balancers ready, {len(objects)} objects applied'
+    )
 
 
 def _run_callers(fleet: Fleet, plan: ServicePlan) -> Any:
@@ -175,18 +161,5 @@
     return sum(count > 1 for count in totals.values())
 
 
-def _print_table(checks: list[Check]) -> int:
-    width = max(len(check.name) for check in checks)
-    for check in checks:
-        verdict = 'ok' if check.is_good else 'FAILED'
-        _write(f'{check.name:<{width}}  {check.found:<16}  {verdict}')
-    return int(not all(check.is_good for check in checks))
-
-
-def _write(text: str) -> None:
-    sys.stdout.write(f'{text}\n')
-    sys.stdout.flush()
-
-
 if __name__ == '__main__':
     sys.exit(run_demo())
