--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -52,7 +52,8 @@
     effects.extend(note_changes(steering, changes, now))
     for host in expire_peers(edge.roster, now):
         effects.append(WriteEvent('peer_lost', {'peer': host}))
-    if is_read_due(edge.reads, rank_reader(edge.roster), now):
+    rank = rank_reader(edge.roster)
+    if is_read_due(edge.reads, rank, edge.is_seed, now):
         source = start_read(edge.reads, now)
         effects.append(ReadSource(source, edge.reads.may_be_stale))
     effects.extend(_note_suspects(edge, now))
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -33,6 +33,8 @@
         Returns a random integer from 0 to below its argument.
     grace_seconds : float
         Time from the request to stop until the process is killed.
+    is_seed : bool
+        Whether other balancers know it from their settings.
     started_at : float
         Seconds of the start.
     history : ViewHistory
@@ -62,6 +64,7 @@
     roster: Roster
     draw: Callable[[int], int]
     grace_seconds: float
+    is_seed: bool
     started_at: float
     history: ViewHistory = field(default_factory=ViewHistory)
     routes_since: float | None = None
@@ -79,6 +82,7 @@
     own_host: str,
     flow_lifetime_seconds: float,
     grace_seconds: float,
+    is_seed: bool,
     draw: Callable[[int], int],
     now: float,
 ) -> Edge:
@@ -97,6 +101,7 @@
         roster,
         draw,
         grace_seconds,
+        is_seed,
         started_at=now,
         last_tick_at=now,
     )
--- a/balsamshed/edge/tests/builders.py
+++ b/balsamshed/edge/tests/builders.py
@@ -73,6 +73,7 @@
         'own_host': host,
         'flow_lifetime_seconds': 60,
         'grace_seconds': 6,
+        'is_seed': True,
         'draw': draw_lowest,
         'now': now,
         **changes,
--- a/balsamshed/front_ends/edge_process.py
+++ b/balsamshed/front_ends/edge_process.py
@@ -106,15 +106,18 @@
     loop: AbstractEventLoop,
 ) -> EdgeProcess:
     now = read_clock()
+    own_host = settings.packets.host
+    seeds = tuple(seed.host for seed in settings.seeds)
     edge = create_edge(
         settings.data_centre,
-        settings.packets.host,
+        own_host,
         settings.flow_lifetime_seconds,
         settings.grace_seconds,
+        own_host in seeds,
         random.SystemRandom().randrange,
         now,
     )
-    add_addresses(edge.roster, (seed.host for seed in settings.seeds), now)
+    add_addresses(edge.roster, seeds, now)
     store = HttpSession(loop, settings.store)
     process = EdgeProcess(edge, settings, wire, loop, store)
     process.performers.update(
--- a/balsamshed/store/reading.py
+++ b/balsamshed/store/reading.py
@@ -22,8 +22,10 @@
 READER_STEP_SECONDS: Final = 0.2
 #: Age at which everybody reads, whatever its rank.
 LATEST_READ_SECONDS: Final = 1.6
-#: A view that may be stale is read again after this time, unless a peer
-#: confirms it. Reports of peers that run arrive within it.
+#: A seed reads again a view that may be stale after this time, unless a peer
+#: confirms it. Reports of peers that run arrive within it. All others wait
+#: for `LATEST_READ_SECONDS`: a whole group that starts knows no ranks yet, and
+#: 300 lists at once exhausted the store's rate for 30 s.
 UNCONFIRMED_SECONDS: Final = 0.3
 #: Views that may be stale are tried so often; a replica may lack the first
 #: configuration of a site for seconds.
@@ -88,7 +90,12 @@
     failed_at: float | None = None
 
 
-def is_read_due(state: ReadState, rank: int, now: float) -> bool:
+def is_read_due(
+    state: ReadState,
+    rank: int,
+    is_seed: bool,
+    now: float,
+) -> bool:
     """Tell whether a balancer should read the store now.
 
     Parameters
@@ -97,6 +104,8 @@
         Reads of this balancer.
     rank : int
         How many live balancers read before it.
+    is_seed : bool
+        Whether others know it from their settings.
     now : float
         Seconds of the balancer's clock.
     """
@@ -106,7 +115,8 @@
         return True
     since, first = state.confirmed_at, READ_INTERVAL_SECONDS
     if since is None:
-        since, first = state.unconfirmed_since, UNCONFIRMED_SECONDS
+        since = state.unconfirmed_since
+        first = UNCONFIRMED_SECONDS if is_seed else LATEST_READ_SECONDS
     delay = min(first + rank * READER_STEP_SECONDS, LATEST_READ_SECONDS)
     return now - since >= delay
 
--- a/balsamshed/store/tests/test_reading.py
+++ b/balsamshed/store/tests/test_reading.py
@@ -38,12 +38,12 @@
 def test_first_reader_reads_before_the_others():
     """Guards against a whole group that reads the store."""
     state = ReadState()
-    assert is_read_due(state, 5, now=0)
+    assert is_read_due(state, 5, True, now=0)
     read(state, 1, now=0)
-    assert not is_read_due(state, 0, READ_INTERVAL_SECONDS - 0.01)
-    assert is_read_due(state, 0, READ_INTERVAL_SECONDS)
-    assert not is_read_due(state, 1, READ_INTERVAL_SECONDS)
-    assert is_read_due(state, 300, LATEST_READ_SECONDS)
+    assert not is_read_due(state, 0, True, READ_INTERVAL_SECONDS - 0.01)
+    assert is_read_due(state, 0, True, READ_INTERVAL_SECONDS)
+    assert not is_read_due(state, 1, True, READ_INTERVAL_SECONDS)
+    assert is_read_due(state, 300, True, LATEST_READ_SECONDS)
 
 
 def test_age_stays_below_the_bound_of_a_drain():
@@ -57,7 +57,7 @@
     state = ReadState()
     read(state, 1, now=0)
     confirm_revision(state, 1, confirmed_at=5)
-    assert not is_read_due(state, 0, now=5.5)
+    assert not is_read_due(state, 0, True, now=5.5)
     assert get_age(state, 5.5) == 0.5
 
 
@@ -142,9 +142,9 @@
     is_changed(state, 7)
     finish_read(state)
     assert get_age(state, 0.1) == float('inf')
-    assert not is_read_due(state, 0, UNCONFIRMED_SECONDS - 0.01)
-    assert is_read_due(state, 0, UNCONFIRMED_SECONDS)
-    assert is_read_due(state, 300, LATEST_READ_SECONDS)
+    assert not is_read_due(state, 0, True, UNCONFIRMED_SECONDS - 0.01)
+    assert is_read_due(state, 0, True, UNCONFIRMED_SECONDS)
+    assert is_read_due(state, 300, True, LATEST_READ_SECONDS)
     assert start_read(state, 1) is Source.REVISION
     assert not state.may_be_stale
     is_changed(state, 7)
@@ -167,5 +167,20 @@
     """Guards against a balancer that trusts a peer without a store."""
     state = ReadState()
     adopt_revision(state, 4, 2)
-    assert not is_read_due(state, 0, 2.1)
-    assert is_read_due(state, 0, 2.01 + UNCONFIRMED_SECONDS)
+    assert not is_read_due(state, 0, True, 2.1)
+    assert is_read_due(state, 0, True, 2.01 + UNCONFIRMED_SECONDS)
+
+
+def test_only_seeds_confirm_the_first_view_soon():
+    """A group of 300 that starts knows no ranks: all of them listed 3,000
+    endpoints at once, which exhausted the store's rate for 30 s."""
+    state = ReadState()
+    start_read(state, 0)
+    is_changed(state, 7)
+    finish_read(state)
+    assert is_read_due(state, 0, True, UNCONFIRMED_SECONDS)
+    assert not is_read_due(state, 0, False, LATEST_READ_SECONDS - 0.01)
+    assert is_read_due(state, 0, False, LATEST_READ_SECONDS)
+    # Once the view was confirmed, the rank alone decides.
+    confirm_revision(state, 7, 1)
+    assert is_read_due(state, 0, False, 1 + READ_INTERVAL_SECONDS)
--- a/testbed/tests/test_edge_fleet.py
+++ b/testbed/tests/test_edge_fleet.py
@@ -65,7 +65,7 @@
 
     def start(self, host):
         """Return a balancer that has just started."""
-        edge = build_edge(host, now=self.now)
+        edge = build_edge(host, now=self.now, is_seed=host == HOSTS[0])
         add_addresses(edge.roster, HOSTS, self.now)
         return edge
 
