--- a/Makefile
+++ b/Makefile
@@ -25,11 +25,14 @@
 measure: setup
 	$(PYTHON) -m testbed.measure
 
-# Real processes under seeded faults; SEEDS and FIRST choose the seeds.
+# Real processes under seeded faults; SEEDS and FIRST choose the seeds, and
+# REPORT names an HTML file with charts.
 SEEDS ?= 5
 FIRST ?= 1
+REPORT ?=
 soak: setup
-	$(PYTHON) -m testbed.soak --seeds $(SEEDS) --first $(FIRST)
+	$(PYTHON) -m testbed.soak --seeds $(SEEDS) --first $(FIRST) \
+		$(if $(REPORT),--report $(REPORT))
 
 build: setup
 	$(PYTHON) -m testbed.build
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -3,6 +3,8 @@
 ``python -m testbed.soak --seeds 50`` plays seeds one after the other. A seed
 fixes the schedule of faults and the choices of the callers; what the machine
 does in between varies, so a seed that failed is played again with its logs.
+``--shrink-failing`` leaves out the faults of a failing seed that it does not need, and
+``--report FILE`` draws faults over served, late and unserved flows.
 """
 
 import asyncio
@@ -10,7 +12,7 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -18,6 +20,8 @@
 from typing import Final
 
 import defopt
+from rich.console import Console
+from rich.progress import track
 
 from testbed.edge_site import (
     ACK,
@@ -31,12 +35,14 @@
     open_site,
 )
 from testbed.metadata_store import delete_object, take_snapshot
+from testbed.soak_findings import Fault, Outcome, OutcomeKind, Run, shrink
 from testbed.soak_oracle import (
     Delivery,
     History,
     Reset,
     find_violations,
 )
+from testbed.soak_report import draw_report
 from testbed.store_proxy import ProxyMode, StoreProxy
 
 BALANCERS: Final = 4
@@ -57,28 +63,6 @@
 _OK: Final = 200
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """One entry of a schedule.
-
-    Parameters
-    ----------
-    at : float
-        Seconds since the start.
-    kind : str
-        Name of the fault, see ``_FAULTS``.
-    target : int
-        Balancer or endpoint.
-    seconds : float
-        How long it lasts.
-    """
-
-    at: float
-    kind: str
-    target: int
-    seconds: float
-
-
 @dataclass(frozen=True, slots=True)
 class Sending:
     """A packet that a caller sent.
@@ -125,6 +109,7 @@
         self.removed_at: dict[int, float] = {}
         self.sent: dict[int, list[Sending]] = {}
         self.opened: dict[int, int] = {}
+        self.outcomes: list[Outcome] = []
         self.version = 1
         self.next_flow = _FIRST_FLOW
         self.outages = 0
@@ -149,7 +134,7 @@
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
-async def play_seed(seed: int, seconds: float, folder: Path) -> list[str]:
+async def play_seed(seed: int, seconds: float, folder: Path) -> Run:
     """Play one seed.
 
     Parameters
@@ -163,11 +148,33 @@
 
     Returns
     -------
-    list of str
-        The schedule and every broken promise; empty if there is none.
+    Run
+        What happened, with every broken promise.
     """
     random = Random(seed)
     faults = plan_faults(random, seconds)
+    return await play_faults(seed, faults, random, folder)
+
+
+async def play_faults(
+    seed: int,
+    faults: tuple[Fault, ...],
+    random: Random,
+    folder: Path,
+) -> Run:
+    """Play a schedule of faults.
+
+    Parameters
+    ----------
+    seed : int
+        Names the run.
+    faults : tuple of Fault
+        The schedule.
+    random : Random
+        Choices of the callers.
+    folder : Path
+        For settings and logs.
+    """
     with open_site(folder) as site:
         soak = Soak(site, random)
         await _start(soak)
@@ -182,8 +189,7 @@
             tuple(soak.troubles),
         )
         violations += find_violations(history, soak.deliveries, soak.resets)
-    schedule = [f'{fault}' for fault in faults] if violations else []
-    return schedule + violations
+    return Run(seed, faults, tuple(soak.outcomes), tuple(violations))
 
 
 async def _start(soak: Soak) -> None:
@@ -278,14 +284,19 @@
     """Open a flow, send data through several balancers, and close it."""
     flow = soak.next_flow
     soak.next_flow += 1
+    begin = soak.now()
+    kind = OutcomeKind.SERVED
     for attempt, wait_seconds in enumerate(OPENING_WAITS_SECONDS):
         _send(soak, flow, route_port, SYN, attempt=attempt)
         await asyncio.sleep(wait_seconds)
         cookie = soak.opened.get(flow)
         if cookie is not None:
             break
+        kind = OutcomeKind.LATE
     else:
+        soak.outcomes.append(Outcome(begin, OutcomeKind.NOT_SERVED))
         return False
+    soak.outcomes.append(Outcome(begin, kind))
     for flags in (ACK, ACK, ACK | FIN):
         _send(soak, flow, route_port, flags, cookie)
         await asyncio.sleep(soak.random.uniform(0.05, 0.6))
@@ -465,15 +476,13 @@
     return violations
 
 
-def _list_seeds(seeds: int, first: int) -> Iterator[int]:
-    return iter(range(first, first + seeds))
-
-
 def run(
     *,
     seeds: int = 5,
     first: int = 1,
     seconds: float = 10,
+    report: str = '',
+    shrink_failing: bool = False,
 ) -> int:
     """Play seeds, and keep the logs of those that fail.
 
@@ -485,30 +494,62 @@
         The first one.
     seconds
         Time in which faults of a seed begin.
+    report
+        HTML file to draw the runs into.
+    shrink_failing
+        Whether to leave out faults that a failing seed does not need.
 
     Returns
     -------
     int
         Exit status: 1 if a promise was broken.
     """
-    failed = 0
-    for seed in _list_seeds(seeds, first):
+    runs: list[Run] = []
+    for seed in track(
+        range(first, first + seeds), console=Console(stderr=True)
+    ):
         folder = Path(mkdtemp(prefix=f'soak-{seed}-'))
-        violations = asyncio.run(play_seed(seed, seconds, folder))
-        failed += bool(violations)
-        sys.stdout.write(
-            f'seed={seed} violations={len(violations)} failed={failed}\n',
+        played = asyncio.run(play_seed(seed, seconds, folder))
+        runs.append(played)
+        failed = sum(bool(run.violations) for run in runs)
+        _write(
+            f'seed={seed} violations={len(played.violations)} failed={failed}',
         )
-        if violations:
-            sys.stdout.write('\n'.join(violations) + '\n')
-            sys.stdout.write(
-                f'again: python -m testbed.soak --seeds 1 --first {seed} '
-                f'--seconds {seconds}; logs: {folder}\n',
-            )
+        if played.violations:
+            _show_failure(played, seconds, folder)
+            if shrink_failing:
+                _show_shrunk(played)
         else:
             shutil.rmtree(folder)
-        sys.stdout.flush()
-    return int(failed > 0)
+    if report:
+        Path(report).write_text(draw_report(runs), 'utf-8')
+    return int(any(run.violations for run in runs))
+
+
+def _show_failure(played: Run, seconds: float, folder: Path) -> None:
+    for line in (*map(str, played.faults), *played.violations):
+        _write(line)
+    _write(
+        f'again: python -m testbed.soak --seeds 1 --first {played.seed} '
+        f'--seconds {seconds}; logs: {folder}',
+    )
+
+
+def _show_shrunk(played: Run) -> None:
+    def still_fails(faults: tuple[Fault, ...]) -> bool:
+        folder = Path(mkdtemp(prefix=f'soak-{played.seed}-shrink-'))
+        random = Random(played.seed)
+        again = asyncio.run(play_faults(played.seed, faults, random, folder))
+        shutil.rmtree(folder)
+        return bool(again.violations)
+
+    for fault in shrink(played.faults, still_fails):
+        _write(f'needed: {fault}')
+
+
+def _write(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/testbed/soak_report.py
@@ -0,0 +1,75 @@
+"""Report of the soak as one HTML page with a chart for each seed."""
+
+from collections import Counter
+from collections.abc import Iterable
+from html import escape
+from typing import Final
+
+import pygal
+
+from testbed.soak_findings import OutcomeKind, Run
+
+#: Width of a bar of the charts.
+BAR_SECONDS: Final = 0.5
+
+_PAGE: Final = (
+    '<!doctype html><meta charset="utf-8"><title>Fault soak</title>'
+    '<style>body{font-family:sans-serif;max-width:70em;margin:auto}</style>'
+    '<h1>Fault soak: %s seeds, %s failed</h1>%s'
+)
+
+
+def draw_report(runs: Iterable[Run]) -> str:
+    """Return the HTML page of some runs."""
+    played = tuple(runs)
+    failed = sum(bool(run.violations) for run in played)
+    sections = ''.join(map(_draw_run, played))
+    return _PAGE % (len(played), failed, sections)
+
+
+def _draw_run(run: Run) -> str:
+    violations = ''.join(f'<li>{escape(text)}</li>' for text in run.violations)
+    flows = _draw_flows(run).render(
+        is_unicode=True, disable_xml_declaration=True
+    )
+    faults = _draw_faults(run).render(
+        is_unicode=True,
+        disable_xml_declaration=True,
+    )
+    return f'<h2>Seed {run.seed}</h2><ul>{violations}</ul>{flows}{faults}'
+
+
+def _draw_flows(run: Run) -> pygal.StackedBar:
+    last = max((outcome.at for outcome in run.outcomes), default=0)
+    bars = range(int(last / BAR_SECONDS) + 1)
+    chart = pygal.StackedBar(
+        title='Flows by the time at which their callers began',
+        height=240,
+        x_label_rotation=90,
+        js=(),
+    )
+    chart.x_labels = [f'{bar * BAR_SECONDS:.1f} s' for bar in bars]
+    for kind in OutcomeKind:
+        counts = Counter(
+            int(outcome.at / BAR_SECONDS)
+            for outcome in run.outcomes
+            if outcome.kind is kind
+        )
+        chart.add(kind.value, [counts[bar] for bar in bars])
+    return chart
+
+
+def _draw_faults(run: Run) -> pygal.XY:
+    chart = pygal.XY(
+        title='Faults, in seconds since the start',
+        height=240,
+        show_y_labels=False,
+        js=(),
+    )
+    for height, fault in enumerate(run.faults, start=1):
+        end = fault.at + fault.seconds
+        chart.add(
+            f'{fault.kind} {fault.target}',
+            [(fault.at, height), (end, height)],
+        )
+    return chart
--- a/testbed/tests/test_soak.py
+++ b/testbed/tests/test_soak.py
@@ -6,6 +6,8 @@
 import pytest
 
 from testbed.soak import plan_faults, play_seed
+from testbed.soak_findings import Outcome, OutcomeKind, Run, shrink
+from testbed.soak_report import draw_report
 
 
 # 102: overlapping outages ended each other, and entries lapsed while the store
@@ -13,10 +15,31 @@
 @pytest.mark.parametrize('seed', [101, 102])
 def test_short_run_keeps_every_promise(seed, tmp_path):
     """Guards against faults that only several failures together bring out."""
-    assert asyncio.run(play_seed(seed, 5, tmp_path)) == []
+    assert asyncio.run(play_seed(seed, 5, tmp_path)).violations == ()
 
 
 def test_seed_fixes_the_schedule():
     """Guards against a failure that cannot be played again."""
     assert plan_faults(Random(7), 10) == plan_faults(Random(7), 10)
     assert plan_faults(Random(7), 10) != plan_faults(Random(8), 10)
+
+
+def test_shrinking_leaves_what_a_failure_needs():
+    """Guards against a failing seed that nobody can read."""
+    faults = plan_faults(Random(7), 10)
+    needed = {faults[0], faults[2]}
+    assert set(shrink(faults, needed.issubset)) == needed
+
+
+def test_report_shows_faults_over_flows():
+    """Guards against a report that hides a failed seed."""
+    faults = plan_faults(Random(7), 10)
+    outcomes = tuple(
+        Outcome(at, kind) for at, kind in enumerate(OutcomeKind, start=1)
+    )
+    page = draw_report([Run(7, faults, outcomes, ('flow <1> moved',))])
+    assert '1 seeds, 1 failed' in page
+    assert 'flow &lt;1&gt; moved' in page
+    assert page.count('<svg') == 2
+    for fault in faults:
+        assert f'{fault.kind} {fault.target}' in page
