Wait longer after each failed fetch of a peer's view

Ruled out: changes in steady state (14.5 and 20.2 KB at 31 and 102). Change: waits after failed fetches double as those after failed reads do.

--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -52,6 +52,10 @@
         paused.
     fetching_since : float or None
         Start of the fetch of a peer's view in progress.
+    fetch_failures : int
+        Fetches that failed since one succeeded.
+    fetch_retry_at : float
+        No fetch starts before, after a failed one.
     was_ready : bool
         Whether it has been ready before.
     suspects : frozenset of int
@@ -73,6 +77,8 @@
     last_tick_at: float = 0
     distrusted_until: float = 0
     fetching_since: float | None = None
+    fetch_failures: int = 0
+    fetch_retry_at: float = 0
     was_ready: bool = False
     suspects: frozenset[int] = frozenset()
 
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -101,6 +101,25 @@
     assert list_fetches(tick_and_report(edge, '10.9.0.2', report, 1.6))
 
 
+def test_failed_fetches_are_repeated_with_growing_waits():
+    """After the loss of 302 balancers, each asked a holder for a whole view
+    at every report, so that no view was complete in time."""
+    edge = build_edge()
+    read_store(edge, build_view(1, build_endpoint(1)), build_table(1), 0)
+    report = Report('a', 2, 0.1, (), ())
+    fetches, now = [], 1.0
+    while now < 9:
+        if list_fetches(tick_and_report(edge, '10.9.0.2', report, now)):
+            fetches.append(now)
+            handle_read_failed(edge, Source.PEER_VIEW, 'timed_out', now)
+        now += 0.02
+    assert len(fetches) < 40
+    assert fetches[1] - fetches[0] < 0.1
+    view = StoreView(build_view(3, build_endpoint(1)), None)
+    handle_peer_view(edge, view, now)
+    assert edge.fetch_failures == 0
+
+
 def test_peer_view_that_is_older_changes_nothing():
     """Guards against a configuration or drain that reverts."""
     edge = build_edge()
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -31,6 +31,7 @@
 from balsamshed.store.reading import (
     Source,
     adopt_revision,
+    choose_wait,
     confirm_revision,
     fail_read,
     finish_read,
@@ -85,6 +86,10 @@
     """Go on with what is known; read again soon, or ask a peer."""
     if source is Source.PEER_VIEW:
         edge.fetching_since = None
+        # Holders that are asked by a whole group need time for each view.
+        wait = choose_wait(edge.fetch_failures, edge.draw)
+        edge.fetch_retry_at = now + wait
+        edge.fetch_failures += 1
         return [WriteEvent('peer_view_failed', {'reason': reason})]
     if not fail_read(edge.reads, now, edge.draw):
         return []
@@ -117,7 +122,8 @@
         # The age in the report may be older by the length of a pause.
         return effects
     confirm_revision(edge.reads, report.revision, now - report.age_seconds)
-    if report.revision > edge.reads.revision and edge.fetching_since is None:
+    can_fetch = edge.fetching_since is None and now >= edge.fetch_retry_at
+    if can_fetch and report.revision > edge.reads.revision:
         holders = list_holders(
             edge.roster,
             edge.reads.revision,
@@ -136,6 +142,7 @@
 ) -> list[EdgeEffect]:
     """Take over a peer's view of the store if it is newer."""
     edge.fetching_since = None
+    edge.fetch_failures = 0
     endpoints = view.endpoints
     if endpoints.revision <= edge.reads.revision:
         return []
--- a/balsamshed/store/reading.py
+++ b/balsamshed/store/reading.py
@@ -194,14 +194,26 @@
     """
     state.started_at = None
     state.failed_at = now
+    state.retry_at = now + choose_wait(state.failures, draw)
+    state.failures += 1
+    return state.failures == 1
+
+
+def choose_wait(failures: int, draw: Callable[[int], int]) -> float:
+    """Return the seconds to wait after a failure.
+
+    Parameters
+    ----------
+    failures : int
+        Failures in a row before this one; each doubles the wait.
+    draw : callable
+        Returns a random integer from 0 to below its argument.
+    """
     wait = min(
-        FIRST_RETRY_SECONDS * (1 << min(state.failures, 8)),
+        FIRST_RETRY_SECONDS * (1 << min(failures, 8)),
         LONGEST_RETRY_SECONDS,
     )
-    share = (1 + draw(_JITTER_STEPS) / _JITTER_STEPS) / 2
-    state.retry_at = now + wait * share
-    state.failures += 1
-    return state.failures == 1
+    return wait * (1 + draw(_JITTER_STEPS) / _JITTER_STEPS) / 2
 
 
 def note_absence(state: ReadState, now: float) -> None:
