--- a/balsamshed/commands/edges.py
+++ b/balsamshed/commands/edges.py
@@ -10,13 +10,12 @@
 from balsamshed.commands.rendering import format_json, format_table
 from balsamshed.commands.sessions import Output
 from balsamshed.commands.statuses import ExitStatus
+from balsamshed.front_ends.edge_process import SUMMARY_PATH
 
 #: A balancer that does not answer in this time counts as out of reach.
 FETCH_SECONDS: Final = 2.0
 #: A view that the store has not confirmed for longer may hide a drain.
 OLD_VIEW_SECONDS: Final = 3.0
-#: Path of a balancer's summary, at its address for metrics.
-SUMMARY_PATH: Final = '/summary'
 
 _TITLES: Final = (
     'BALANCER',
