Reserve the ports of a test site for as long as it runs

Ruled out: sockets that a balancer leaves behind (each test ends them by id). Change: a site holds a socket for a block of ports below those of outgoing connections. Served, late and unserved flows of the soak's report are green, orange and red.

--- a/testbed/edge_site.py
+++ b/testbed/edge_site.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -27,6 +28,8 @@
 WAIT_SECONDS: Final = 8
 
 _PORTS: Final = 60
+_FIRST_PORT: Final = 12_000
+_END_PORT: Final = 32_000
 _COOKIE_AT: Final = 18
 
 
@@ -88,7 +91,9 @@
         self.store = MetadataStore(page_size=2)
         self.endpoints: dict[int, Endpoint] = {}
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
-        self.ports = iter(find_ports(_PORTS))
+        guard, ports = reserve_ports(_PORTS)
+        self.guard = guard
+        self.ports = iter(ports)
         self.packet_port = next(self.ports)
         self.peer_port = next(self.ports)
         self.store_port = next(self.ports)
@@ -100,6 +105,11 @@
         self.caller.bind((CALLER, self.packet_port))
         self.caller.setblocking(False)
 
+    def close(self) -> None:
+        """Give the ports back."""
+        self.caller.close()
+        self.guard.close()
+
     async def start_store(self) -> None:
         """Start the store, with a configuration."""
         self.configure(1)
@@ -223,7 +233,7 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
-        site.caller.close()
+        site.close()
 
 
 def get_host(number: int) -> str:
@@ -236,15 +246,30 @@
     return int(unpack_from('<I', datagram, _COOKIE_AT)[0])
 
 
-def find_ports(count: int) -> list[int]:
-    """Return ports that nothing uses at the moment."""
-    sockets = [socket.socket() for _ in range(count)]
-    for bound in sockets:
-        bound.bind(('127.0.0.1', 0))
-    ports = [bound.getsockname()[1] for bound in sockets]
-    for bound in sockets:
-        bound.close()
-    return ports
+def reserve_ports(count: int) -> tuple[socket.socket, range]:
+    """Reserve ports that no other site uses as long as this one runs.
+
+    They lie below the ports that the system gives to outgoing connections:
+    ports that were free a moment before were taken by another site or by a
+    connection, so that a bind failed.
+
+    Returns
+    -------
+    tuple of (socket, range)
+        Socket that holds the reservation, and the ports.
+    """
+    blocks = list(range(_FIRST_PORT, _END_PORT - count, count + 1))
+    random.shuffle(blocks)
+    for first in blocks:
+        guard = socket.socket()
+        try:
+            guard.bind((CALLER, first))
+        except OSError:
+            # Another site has this block.
+            guard.close()
+            continue
+        return guard, range(first + 1, first + 1 + count)
+    raise OSError(f'no {count} ports are free')
 
 
 async def wait_until(is_met: Callable[[], Any], what: str) -> None:
--- a/testbed/soak_report.py
+++ b/testbed/soak_report.py
@@ -6,12 +6,15 @@
 from typing import Final
 
 import pygal
+from pygal.style import Style
 
 from testbed.soak_findings import OutcomeKind, Run
 
 #: Width of a bar of the charts.
 BAR_SECONDS: Final = 0.5
 
+#: Green, orange and red for served, late and not served flows.
+_FLOW_STYLE: Final = Style(colors=('#2e8b57', '#ff8c00', '#c0392b'))
 _PAGE: Final = (
     '<!doctype html><meta charset="utf-8"><title>Fault soak</title>'
     '<style>body{font-family:sans-serif;max-width:70em;margin:auto}</style>'
@@ -46,6 +49,7 @@
         title='Flows by the time at which their callers began',
         height=240,
         x_label_rotation=90,
+        style=_FLOW_STYLE,
         js=(),
     )
     chart.x_labels = [f'{bar * BAR_SECONDS:.1f} s' for bar in bars]
--- a/testbed/tests/test_edge_processes.py
+++ b/testbed/tests/test_edge_processes.py
@@ -283,3 +283,10 @@
     """Guards against a site that can only be judged by its logs."""
     with open_site(tmp_path) as site:
         asyncio.run(check_edge_status(site, capsys))
+
+
+def test_sites_at_the_same_time_share_no_port(tmp_path):
+    """Two soaks, or a soak beside the checks, met at one port: "Address
+    already in use"."""
+    with open_site(tmp_path) as first, open_site(tmp_path) as second:
+        assert not {*first.ports} & {*second.ports}
