Never use the ports of a test site twice in one process

Ruled out: the other run, whose guard would have kept the block. Change: a block stays reserved until its process ends.

--- a/testbed/edge_site.py
+++ b/testbed/edge_site.py
@@ -30,6 +30,8 @@
 _PORTS: Final = 60
 _FIRST_PORT: Final = 12_000
 _END_PORT: Final = 32_000
+#: Sockets that hold the blocks of ports of this process.
+_GUARDS: Final[list[socket.socket]] = []
 _COOKIE_AT: Final = 18
 
 
@@ -91,9 +93,7 @@
         self.store = MetadataStore(page_size=2)
         self.endpoints: dict[int, Endpoint] = {}
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
-        guard, ports = reserve_ports(_PORTS)
-        self.guard = guard
-        self.ports = iter(ports)
+        self.ports = iter(reserve_ports(_PORTS))
         self.packet_port = next(self.ports)
         self.peer_port = next(self.ports)
         self.store_port = next(self.ports)
@@ -105,11 +105,6 @@
         self.caller.bind((CALLER, self.packet_port))
         self.caller.setblocking(False)
 
-    def close(self) -> None:
-        """Give the ports back."""
-        self.caller.close()
-        self.guard.close()
-
     async def start_store(self) -> None:
         """Start the store, with a configuration."""
         self.configure(1)
@@ -233,7 +228,7 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
-        site.close()
+        site.caller.close()
 
 
 def get_host(number: int) -> str:
@@ -246,17 +241,12 @@
     return int(unpack_from('<I', datagram, _COOKIE_AT)[0])
 
 
-def reserve_ports(count: int) -> tuple[socket.socket, range]:
-    """Reserve ports that no other site uses as long as this one runs.
-
-    They lie below the ports that the system gives to outgoing connections:
-    ports that were free a moment before were taken by another site or by a
-    connection, so that a bind failed.
+def reserve_ports(count: int) -> range:
+    """Reserve ports that no other site uses until this process ends.
 
-    Returns
-    -------
-    tuple of (socket, range)
-        Socket that holds the reservation, and the ports.
+    They lie below the ports that the system gives to outgoing connections,
+    and are not used again: a listening socket outlives its event loop until
+    it is collected, so that the next bind failed.
     """
     blocks = list(range(_FIRST_PORT, _END_PORT - count, count + 1))
     random.shuffle(blocks)
@@ -265,10 +255,11 @@
         try:
             guard.bind((CALLER, first))
         except OSError:
-            # Another site has this block.
+            # A site, of this process or another one, has this block.
             guard.close()
             continue
-        return guard, range(first + 1, first + 1 + count)
+        _GUARDS.append(guard)
+        return range(first + 1, first + 1 + count)
     raise OSError(f'no {count} ports are free')
 
 
