Check changes that a peer sends against the digest of its view

Ruled out: answering only for revisions that the holder has had itself. Balancers skip different revisions, so many peers would fetch whole views (270 KB with 3,000 endpoints).

Change: changes carry the CRC-32 of the endpoints that they lead to.

--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -100,7 +100,7 @@
 
 def test_changes_of_a_view_survive_the_round_trip():
     """Guards against changes that are decoded as a whole view."""
-    changes = EndpointChanges(7, 9, (build_endpoint(1),), (0x1002,))
+    changes = EndpointChanges(7, 9, (build_endpoint(1),), (0x1002,), 9, 0xC0DE)
     assert decode_view(encode_view(StoreView(changes, None))) == StoreView(
         changes, None
     )
--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -58,6 +58,7 @@
         'base': view.base_revision,
         'endpoints': _encode_endpoints(view.updated),
         'removed': view.removed,
+        'digest': view.digest,
     }
 
 
@@ -101,9 +102,14 @@
     endpoints = tuple(Endpoint(*row) for row in document['endpoints'])
     if 'base' not in document:
         return EndpointView(revision, endpoints, max_revision)
-    removed = tuple(document['removed'])
-    base = int(document['base'])
-    return EndpointChanges(base, revision, endpoints, removed, max_revision)
+    return EndpointChanges(
+        int(document['base']),
+        revision,
+        endpoints,
+        tuple(document['removed']),
+        max_revision,
+        document.get('digest'),
+    )
 
 
 def _decode_routes(document: Any) -> RouteTable:
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -57,6 +57,9 @@
         Consecutive failed fetches.
     fetch_retry_at : float
         Earliest time of the next fetch after a failure.
+    needs_whole_view : bool
+        Whether the next fetch asks for a whole view, since the changes that
+        a peer sent did not lead to its view.
     has_been_ready : bool
         Whether it has ever been ready.
     suspected_cookies : frozenset of int
@@ -80,6 +83,7 @@
     fetch_started_at: float | None = None
     fetch_failures: int = 0
     fetch_retry_at: float = 0
+    needs_whole_view: bool = False
     has_been_ready: bool = False
     suspected_cookies: frozenset[int] = frozenset()
 
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -18,6 +18,7 @@
     handle_revision,
     handle_routes,
 )
+from balsamshed.endpoints.digests import calculate_digest
 from balsamshed.endpoints.directory import list_available_endpoints
 from balsamshed.endpoints.history import EndpointChanges
 from balsamshed.peers.report import PeerReport
@@ -222,7 +223,9 @@
     read_store(edge, build_view(1, first, second), build_table(1), 0)
     draining = build_endpoint(2, is_draining=True)
     read_store(edge, build_view(2, draining), build_table(1), 1)
-    changes = EndpointChanges(1, 2, (draining,), (first.instance,), 2)
+    digest = calculate_digest([draining])
+    removed = (first.instance,)
+    changes = EndpointChanges(1, 2, (draining,), removed, 2, digest)
     assert create_view_for_peer(edge, 1, 1) == StoreView(changes, None)
     assert create_view_for_peer(edge, 1, 0).routes == build_table(1)
     assert create_view_for_peer(edge, 0, 1).endpoints == build_view(2, draining)
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -1,6 +1,6 @@
 """Updates of an edge balancer from views of the store and of peers."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from typing import Final
 
 from balsamshed.edge.effects import (
@@ -40,6 +40,9 @@
     set_pending_revision,
 )
 
+#: Revision of a balancer without a view; the answer to it is a whole view.
+NO_REVISION: Final = -1
+
 _RESET_KINDS: Final = frozenset(
     (ChangeKind.ADDED, ChangeKind.RESTARTED, ChangeKind.REMOVED),
 )
@@ -124,14 +127,7 @@
     confirm_revision(edge.reads, report.revision, now - report.age_seconds)
     can_fetch = edge.fetch_started_at is None and now >= edge.fetch_retry_at
     if can_fetch and report.revision > edge.reads.revision:
-        holders = list_peers_with_newer_view(
-            edge.peer_table,
-            edge.reads.revision,
-            edge.data_centre,
-        )
-        if holders:
-            edge.fetch_started_at = now
-            effects.append(_fetch_view(edge, holders))
+        effects.extend(_fetch_newer_view(edge, now))
     return effects
 
 
@@ -147,10 +143,11 @@
     if endpoints.revision <= edge.reads.revision:
         return []
     if isinstance(endpoints, EndpointChanges):
-        if endpoints.base_revision > edge.history.revision:
-            reason = f'changes_since_{endpoints.base_revision}'
-            return [LogEvent('peer_view_failed', {'reason': reason})]
-        endpoints = merge_changes(edge.history, endpoints)
+        merged = merge_changes(edge.history, endpoints)
+        if merged is None:
+            return _fetch_whole_view(edge, endpoints, now)
+        endpoints = merged
+    edge.needs_whole_view = False
     effects: list[EdgeEffect] = []
     if view.routes is not None:
         effects.extend(_apply_routes(edge, view.routes, now))
@@ -162,7 +159,7 @@
 
 
 def create_view_for_peer(
-    edge: Edge, revision: int = -1, version: int = -1
+    edge: Edge, revision: int = NO_REVISION, version: int = -1
 ) -> StoreView:
     """Return the part of this balancer's view that a peer lacks.
 
@@ -189,12 +186,38 @@
     return StoreView(endpoints, routes if routes.version > version else None)
 
 
-def _fetch_view(edge: Edge, holders: Sequence[str]) -> FetchView:
-    return FetchView(
-        holders[edge.randbelow(len(holders))],
+def _fetch_whole_view(
+    edge: Edge, changes: EndpointChanges, now: float
+) -> list[EdgeEffect]:
+    """Fetch a whole view, since changes did not lead to the peer's view."""
+    edge.needs_whole_view = True
+    fields = {
+        'reason': 'changes_do_not_match',
+        'base_revision': changes.base_revision,
+        'revision': changes.revision,
+        'own_revision': edge.history.revision,
+    }
+    mismatch = LogEvent('peer_view_failed', fields)
+    return [mismatch, *_fetch_newer_view(edge, now)]
+
+
+def _fetch_newer_view(edge: Edge, now: float) -> list[EdgeEffect]:
+    """Fetch the view of a random peer that reports a newer one."""
+    holders = list_peers_with_newer_view(
+        edge.peer_table,
         edge.reads.revision,
-        edge.steering.routes.version,
+        edge.data_centre,
     )
+    if not holders:
+        return []
+    edge.fetch_started_at = now
+    return [
+        FetchView(
+            holders[edge.randbelow(len(holders))],
+            NO_REVISION if edge.needs_whole_view else edge.reads.revision,
+            edge.steering.routes.version,
+        ),
+    ]
 
 
 def _finish_store_read(edge: Edge) -> list[EdgeEffect]:
--- a/balsamshed/endpoints/endpoint.py
+++ b/balsamshed/endpoints/endpoint.py
@@ -10,7 +10,8 @@
 NO_COOKIE: Final = 0
 
 _COOKIE_MASK: Final = (1 << COOKIE_BITS) - 1
-_get_state: Final = attrgetter(
+#: Returns the fields of an endpoint on which decisions depend.
+get_state: Final = attrgetter(
     'started_at_ms',
     'service',
     'host',
@@ -75,7 +76,7 @@
     The sequence number and the remaining warm-up time are ignored, since they
     differ between any two reports.
     """
-    return first is second or bool(_get_state(first) == _get_state(second))
+    return first is second or bool(get_state(first) == get_state(second))
 
 
 def derive_cookie(instance: int) -> int:
--- a/balsamshed/endpoints/history.py
+++ b/balsamshed/endpoints/history.py
@@ -2,12 +2,18 @@
 
 A balancer with an earlier view fetches only the changes from a peer: a whole
 view of 75 endpoints takes 8 KB, and every balancer fetches each change.
+
+A holder that skipped revisions cannot know which entries disappeared and
+returned between them, but its peer may have the view of such a revision.
+Changes therefore carry the digest of the view that they lead to. The receiver
+checks it, and fetches the whole view if its own result differs.
 """
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
+from balsamshed.endpoints.digests import calculate_digest
 from balsamshed.endpoints.directory import EndpointView
 from balsamshed.endpoints.endpoint import Endpoint, has_same_state
 
@@ -31,6 +37,8 @@
         Instance IDs that the later view lacks.
     max_revision : int
         Highest revision that some endpoints may show; see `EndpointView`.
+    digest : int or None
+        Digest of the later view; None from balancers of builds without it.
     """
 
     base_revision: int
@@ -38,6 +46,7 @@
     updated: tuple[Endpoint, ...]
     removed: tuple[int, ...]
     max_revision: int = -1
+    digest: int | None = None
 
 
 @dataclass(slots=True)
@@ -59,6 +68,8 @@
     change_revisions : dict of int to int
         Latest revision at which an instance may have changed to its current
         state or disappeared, by instance ID; the latest change comes last.
+    digest : int or None
+        Digest of the last view; None until a peer asks for changes.
     """
 
     start_revision: int = -1
@@ -66,6 +77,7 @@
     max_revision: int = -1
     endpoints: dict[int, Endpoint] = field(default_factory=dict)
     change_revisions: dict[int, int] = field(default_factory=dict)
+    digest: int | None = None
 
 
 def record_view(history: ViewHistory, view: EndpointView) -> None:
@@ -86,6 +98,7 @@
             history.change_revisions.pop(instance, None)
             history.change_revisions[instance] = history.max_revision
     history.endpoints = endpoints
+    history.digest = None
     history.revision = view.revision
     while len(history.change_revisions) > MAX_CHANGES:
         oldest = next(iter(history.change_revisions))
@@ -125,29 +138,42 @@
             removed.append(instance)
         else:
             present.append(endpoint)
+    if history.digest is None:
+        history.digest = calculate_digest(history.endpoints.values())
     return EndpointChanges(
         base,
         revision,
         tuple(present),
         tuple(removed),
         history.max_revision,
+        history.digest,
     )
 
 
 def merge_changes(
     history: ViewHistory,
     changes: EndpointChanges,
-) -> EndpointView:
+) -> EndpointView | None:
     """Return the view that results from a peer's changes.
 
     The last view may be newer than the base of the changes: the changes since
     an earlier view include those since a later one.
+
+    Returns
+    -------
+    EndpointView or None
+        None if the result is not the peer's view: the last view is older than
+        the base, or the peer skipped a revision that changed its endpoints.
     """
+    if changes.base_revision > history.revision:
+        return None
     merged = dict(history.endpoints)
     for instance in changes.removed:
         merged.pop(instance, None)
     for endpoint in changes.updated:
         merged[endpoint.instance] = endpoint
+    if changes.digest != calculate_digest(merged.values()):
+        return None
     return EndpointView(
         changes.revision,
         tuple(merged.values()),
--- a/balsamshed/endpoints/tests/test_history.py
+++ b/balsamshed/endpoints/tests/test_history.py
@@ -1,5 +1,7 @@
 """Tests of view histories: balancers must not diverge in their views."""
 
+from dataclasses import replace
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -84,6 +86,25 @@
     assert list_changes(history, 2, 3).updated == (endpoint,)
 
 
+def test_changes_after_a_skipped_revision_are_rejected():
+    """Guards against a peer without endpoints that a holder, which skipped
+    the revision at which they were all missing, calls up to date."""
+    endpoint = build_endpoint(1)
+    holder, peer = build_history([endpoint]), build_history([endpoint], [])
+    record_view(holder, build_view(3, endpoint))
+    changes = list_changes(holder, 2, 3)
+    assert merge_changes(peer, changes) is None
+    assert merge_changes(build_history([endpoint]), changes) is None
+    earlier = list_changes(holder, 1, 3)
+    assert merge_changes(build_history([endpoint]), earlier) is not None
+
+
+def test_changes_without_a_digest_are_rejected():
+    """Guards against unchecked changes from balancers of older builds."""
+    changes = replace(list_changes(build_history([], []), 1, 2), digest=None)
+    assert merge_changes(build_history([]), changes) is None
+
+
 def test_history_does_not_reach_back_before_the_first_view():
     """Guards against a peer that keeps endpoints removed before the start."""
     history = ViewHistory()
--- a/testbed/tests/test_soak.py
+++ b/testbed/tests/test_soak.py
@@ -21,6 +21,8 @@
 # schedule).
 # 402, 517: a balancer that was paused after an outage dropped the endpoints
 # that it had kept, and refused opening packets that were queued in its socket.
+# 408: a balancer that skipped the revision at which all entries were missing
+# answered a peer with that view that nothing had changed since.
 # 408, 523: entries expired within outages of 0.6 and 1.3 s, which not every
 # balancer had noticed (a fault of the schedule: three heartbeats take 2.4 s).
 @pytest.mark.parametrize(
