Round the age of a view in a report up

Cause: the codec truncated the age to whole milliseconds, so a peer took the store's confirmation for up to 1 ms too recent. test_edge_fleet found it with derandomized examples (1.201 <= 1.2).

Change: the age is rounded up; a peer may take a view for up to 1 ms older than it is.

Before: test_age_is_never_decoded_as_less_than_it_was fails with 1.1875 s, TestFleet fails.

--- a/balsamshed/codecs/reports.py
+++ b/balsamshed/codecs/reports.py
@@ -11,6 +11,7 @@
 """
 
 from enum import StrEnum
+from math import ceil
 from socket import inet_aton, inet_ntoa
 from struct import Struct, error
 from typing import Final
@@ -50,7 +51,8 @@
         len(endpoints),
         len(report.peers),
         report.revision,
-        int(age) if age < _UNKNOWN_AGE else _UNKNOWN_AGE,
+        # Rounded up: a peer must not take the confirmation for more recent.
+        ceil(age) if age < _UNKNOWN_AGE else _UNKNOWN_AGE,
     )
     parts = [header, name]
     for endpoint in endpoints:
--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -68,6 +68,13 @@
     assert len(encode_report(plain)) + headers == calculate_wire_size(plain)
 
 
+@given(st.integers(0, 10**9).map(lambda age: age / 10**6))
+def test_age_is_never_decoded_as_less_than_it_was(age):
+    """Guards against a view that a peer takes for confirmed too recently."""
+    report = PeerReport('a', 1, age, (), ())
+    assert decode_report(encode_report(report)).age_seconds >= age
+
+
 def test_infinite_age_survives_the_round_trip():
     """Guards against a view that appears confirmed although it never was."""
     report = PeerReport('a', -1, float('inf'), (), ())
