Reserve the ports of test processes until the test run ends

Ruled out: passing bound sockets to the children. The programs under test would need a setting that users never set.

Change: ports come from below the range of outgoing connections, are never given out twice by one run, and are locked in a file that other runs on the machine check.

--- a/testbed/check_build.py
+++ b/testbed/check_build.py
@@ -27,9 +27,9 @@
     read_processor_seconds,
     read_resident_bytes,
 )
+from testbed.ports import reserve_ports
 from testbed.processes import (
     RunningProcess,
-    pick_free_ports,
     run_command,
     wait_for_exit,
     wait_until,
@@ -230,7 +230,7 @@
 
 
 def _write_settings(fleet: Fleet, name: str) -> tuple[Path, int]:
-    data_port, control_port, metrics_port = pick_free_ports(3)
+    data_port, control_port, metrics_port = reserve_ports(3)
     settings = {
         'name': name,
         'group': GROUP,
--- a/testbed/fleet.py
+++ b/testbed/fleet.py
@@ -12,9 +12,9 @@
 from typing import Any, Final
 from urllib.request import Request, urlopen
 
+from testbed.ports import reserve_ports
 from testbed.processes import (
     RunningProcess,
-    pick_free_ports,
     run_module,
     wait_for_http,
     wait_for_port,
@@ -184,7 +184,7 @@
     Fleet
         Test bed whose processes are stopped when the context exits.
     """
-    store_port, fabric_port, control_port = pick_free_ports(3)
+    store_port, fabric_port, control_port = reserve_ports(3)
     with ExitStack() as stack:
         directory = stack.enter_context(TemporaryDirectory(prefix='fleet-'))
         platform = stack.enter_context(
@@ -236,7 +236,7 @@
     Balancer
         The running balancer; it may not be ready yet.
     """
-    data_port, control_port, metrics_port = pick_free_ports(3)
+    data_port, control_port, metrics_port = reserve_ports(3)
     peers = [
         {'host': '127.0.0.1', 'port': other.peer_port}
         for other in fleet.balancers.values()
@@ -348,7 +348,7 @@
     position: int,
     service_time_ms: int,
 ) -> Server:
-    port, report_port = pick_free_ports(2)
+    port, report_port = reserve_ports(2)
     name = f'{plan.name}-{position}'
     host = f'{plan.host_prefix}.{position}'
     process = fleet.stack.enter_context(
--- a/testbed/measure_packets.py
+++ b/testbed/measure_packets.py
@@ -32,9 +32,9 @@
     wait_until_ready,
 )
 from testbed.packets import Segment, build_packet
+from testbed.ports import reserve_ports
 from testbed.processes import (
     kill_process,
-    pick_free_ports,
     run_module,
     wait_until,
 )
@@ -299,7 +299,7 @@
 
 @contextmanager
 def _run_bare_relay(fabric: socket) -> Iterator[PacketStream]:
-    port = pick_free_ports(1)[0]
+    port = reserve_ports(1)[0]
     target_port = fabric.getsockname()[1]
     with run_module(
         'testbed.bare_relay',
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -4,10 +4,10 @@
 import sys
 import time
 from collections.abc import Callable, Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
-from socket import SOCK_DGRAM, SOCK_STREAM, create_connection, socket
+from socket import create_connection
 from subprocess import (  # noqa: S404  (starts this project's own modules)
     DEVNULL,
     Popen,
@@ -50,41 +50,6 @@
     stderr_path: Path
 
 
-def pick_free_ports(count: int) -> list[int]:
-    """Pick ports that are free for both TCP and UDP.
-
-    Parameters
-    ----------
-    count : int
-        Number of ports.
-
-    Returns
-    -------
-    list of int
-        Distinct ports on 127.0.0.1.
-
-    Raises
-    ------
-    RuntimeError
-        If too few ports are free.
-    """
-    ports: list[int] = []
-    with ExitStack() as stack:
-        # Sockets stay open so that the kernel gives out no port twice.
-        for _ in range(count * 10):
-            if len(ports) == count:
-                break
-            stream = stack.enter_context(socket(type=SOCK_STREAM))
-            stream.bind((_LOOPBACK, 0))
-            port = stream.getsockname()[1]
-            datagram = stack.enter_context(socket(type=SOCK_DGRAM))
-            if _try_to_bind(datagram, port):
-                ports.append(port)
-    if len(ports) < count:
-        raise RuntimeError(f'only {len(ports)} of {count} ports are free')
-    return ports
-
-
 @contextmanager
 def run_module(
     module: str,
@@ -304,14 +269,6 @@
         print(f'{title}\n{text}', file=sys.stderr)  # noqa: WPS421
 
 
-def _try_to_bind(datagram: socket, port: int) -> bool:
-    try:
-        datagram.bind((_LOOPBACK, port))
-    except OSError:
-        return False
-    return True
-
-
 def _accepts_connections(port: int) -> bool:
     try:
         create_connection((_LOOPBACK, port), timeout=1).close()
--- a/testbed/proxied_fleet.py
+++ b/testbed/proxied_fleet.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from testbed.fleet import Balancer, Fleet, call_json_api, start_balancer
-from testbed.processes import pick_free_ports, run_module, wait_for_port
+from testbed.ports import reserve_ports
+from testbed.processes import run_module, wait_for_port
 
 
 def start_proxy(fleet: Fleet, seed: int = 0) -> int:
@@ -26,7 +27,7 @@
     int
         Control port of the proxy.
     """
-    control_port = pick_free_ports(1)[0]
+    control_port = reserve_ports(1)[0]
     fleet.stack.enter_context(
         run_module(
             'testbed.fault_proxy',
@@ -61,7 +62,7 @@
     Balancer
         The running balancer; it may not be ready yet.
     """
-    ports = pick_free_ports(5)
+    ports = reserve_ports(5)
     data_port, control_port, public_data, public_control, store_port = ports
     add_proxied_process(proxy_port, f'{name}.data', public_data, data_port)
     add_proxied_process(
--- a/testbed/tests/test_fault_proxy.py
+++ b/testbed/tests/test_fault_proxy.py
@@ -15,7 +15,8 @@
     replace_rules,
 )
 from testbed.fleet import call_json_api
-from testbed.processes import pick_free_ports, run_module, wait_for_port
+from testbed.ports import reserve_ports
+from testbed.processes import run_module, wait_for_port
 
 
 class RecordedPort:
@@ -89,7 +90,7 @@
 
 def test_tcp_faults_affect_the_intended_connections():
     """Guards against TCP faults that affect the wrong connections."""
-    control, target, link = pick_free_ports(3)
+    control, target, link = reserve_ports(3)
     with ExitStack() as stack:
         for module, options in (
             ('testbed.platform', ('--port', target)),
@@ -139,7 +140,7 @@
 
 def test_datagrams_pass_the_proxy_in_both_directions():
     """Guards against replies that bypass the proxy."""
-    control, first_public, second_public = pick_free_ports(3)
+    control, first_public, second_public = reserve_ports(3)
     with ExitStack() as stack:
         stack.enter_context(
             run_module('testbed.fault_proxy', '--control-port', control),
--- a/testbed/tests/test_platform.py
+++ b/testbed/tests/test_platform.py
@@ -6,12 +6,13 @@
 
 import pytest
 
-from testbed.processes import pick_free_ports, run_module, wait_for_port
+from testbed.ports import reserve_ports
+from testbed.processes import run_module, wait_for_port
 
 
 @pytest.fixture(scope='module')
 def platform_port():
-    (port,) = pick_free_ports(1)
+    (port,) = reserve_ports(1)
     with run_module('testbed.platform', '--port', port):
         wait_for_port(port)
         yield port
--- a/testbed/tests/test_processes.py
+++ b/testbed/tests/test_processes.py
@@ -4,8 +4,8 @@
 from contextlib import ExitStack
 from urllib.request import urlopen
 
+from testbed.ports import reserve_ports
 from testbed.processes import (
-    pick_free_ports,
     read_output,
     run_module,
     wait_for_exit,
@@ -21,7 +21,7 @@
 def test_feeds_and_requests_pass_through_sprayed_relays():
     """Guards against faults of the test bed that look like faults of a
     balancer: relays without state take the place of the balancers."""
-    fabric, control, first, second, backend, report = pick_free_ports(6)
+    fabric, control, first, second, backend, report = reserve_ports(6)
     relays = f'n1=127.0.0.1:{first},n2=127.0.0.1:{second}'
     with ExitStack() as stack:
 
--- a/testbed/trials.py
+++ b/testbed/trials.py
@@ -33,9 +33,9 @@
     update_fabric,
     wait_until_ready,
 )
+from testbed.ports import reserve_ports
 from testbed.processes import (
     kill_process,
-    pick_free_ports,
     run_module,
     stop_process,
     wait_for_port,
@@ -482,7 +482,7 @@
 
 
 def _start_callers(fleet: Fleet, proxy_port: int) -> int:
-    port, control_port, public_port, public_fabric_port = pick_free_ports(4)
+    port, control_port, public_port, public_fabric_port = reserve_ports(4)
     fabric_port = fleet.fabric_port
     if proxy_port:
         add_proxied_process(proxy_port, 'callers', public_port, port)
