Look up flows at owners that the requester does not know yet

Cause: after a partition, members find each other one by one. (a) A member that did not know the others yet judged the flows that they relayed to it. (b) Traced with a line for each reset: lb-3 knew lb-2 but not lb-1, asked lb-2, and lb-2 returned the lookup although lb-1 had placed the flow, because lb-2 already took lb-3 for the owner.

Change: (a) a relay names its sender in the unused list of names, which older builds skip; packets of unknown flows from unknown senders are dropped. (b) The last member of a lookup adds previous owners that the requester may not know; such a lookup ends at the requester.

--- a/balsamshed/codecs/relays.py
+++ b/balsamshed/codecs/relays.py
@@ -2,10 +2,12 @@
 
 The header consists of a marker byte that no IPv4 packet starts with, the kind,
 the requester's name, the count of the remaining members and their names. Each
-name has a length byte. Thrift is not used, since its encoding alone would
-exceed the time budget of a packet.
+name has a length byte. In a relay to the owner, which visits no further
+member, the only remaining name is the sender's. Thrift is not used, since its
+encoding alone would exceed the time budget of a packet.
 """
 
+from functools import cache
 from typing import Final
 
 from balsamshed.codecs.packets import MalformedPacket, decode_packet
@@ -17,7 +19,9 @@
 MAX_REMAINING_MEMBERS: Final = 8
 
 _BAD_HEADER: Final = MalformedPacket('bad_relay_header')
-_TO_OWNER_PREFIX: Final = bytes((RELAY_FIRST_BYTE, RelayKind.TO_OWNER, 0, 0))
+#: Start of a relay to the owner that names its sender: no requester, and one
+#: name, whose length byte follows.
+_TO_OWNER_PREFIX: Final = bytes((RELAY_FIRST_BYTE, RelayKind.TO_OWNER, 0, 1))
 
 
 def encode_relay(relay: Relay) -> bytes:
@@ -36,12 +40,15 @@
     """
     raw = relay.packet.raw
     if relay.kind is RelayKind.TO_OWNER and not relay.requester:
-        return _TO_OWNER_PREFIX + raw
+        return _create_owner_header(relay.sender) + raw
+    names = relay.remaining_members
+    if relay.kind is RelayKind.TO_OWNER:
+        names = (relay.sender,)
     parts = [
         bytes((RELAY_FIRST_BYTE, relay.kind)),
         _encode_name(relay.requester),
-        bytes((len(relay.remaining_members),)),
-        *map(_encode_name, relay.remaining_members),
+        bytes((len(names),)),
+        *map(_encode_name, names),
         raw,
     ]
     return b''.join(parts)
@@ -61,13 +68,26 @@
         The relay, or the reason for its rejection.
     """
     if datagram.startswith(_TO_OWNER_PREFIX):
-        packet = decode_packet(datagram[len(_TO_OWNER_PREFIX) :])
-        if isinstance(packet, MalformedPacket):
-            return packet
-        return Relay(RelayKind.TO_OWNER, '', (), packet)
+        return _decode_to_owner(datagram)
     return _decode_with_names(datagram)
 
 
+@cache
+def _create_owner_header(sender: str) -> bytes:
+    return _TO_OWNER_PREFIX + _encode_name(sender)
+
+
+def _decode_to_owner(datagram: bytes) -> Relay | MalformedPacket:
+    try:
+        sender, position = _decode_name(datagram, len(_TO_OWNER_PREFIX))
+    except (IndexError, ValueError):
+        return _BAD_HEADER
+    packet = decode_packet(datagram[position:])
+    if isinstance(packet, MalformedPacket):
+        return packet
+    return Relay(RelayKind.TO_OWNER, '', (), packet, sender)
+
+
 def _decode_with_names(datagram: bytes) -> Relay | MalformedPacket:
     try:
         kind = RelayKind(datagram[1])
@@ -80,6 +100,9 @@
     packet = decode_packet(datagram[position:])
     if isinstance(packet, MalformedPacket):
         return packet
+    if kind is RelayKind.TO_OWNER:
+        sender = ''.join(remaining_members[:1])
+        return Relay(kind, requester, (), packet, sender)
     return Relay(kind, requester, remaining_members, packet)
 
 
--- a/balsamshed/flows/packets.py
+++ b/balsamshed/flows/packets.py
@@ -83,12 +83,16 @@
         Names of the members that a lookup visits after the receiver.
     packet : Packet
         The packet as received from the fabric.
+    sender : str
+        Name of the member that received the packet from the fabric, with the
+        kind ``TO_OWNER``; empty otherwise, and from members of older builds.
     """
 
     kind: RelayKind
     requester: str
     remaining_members: tuple[str, ...]
     packet: Packet
+    sender: str = ''
 
 
 def build_flow_key(
--- a/balsamshed/node/tests/test_traffic.py
+++ b/balsamshed/node/tests/test_traffic.py
@@ -234,3 +234,60 @@
             forwarded.add(owner)
     assert forwarded == {'lb-3'}
     assert returned == {'lb-1', 'lb-2'}
+
+
+def test_unknown_flow_of_an_unknown_sender_is_not_reset():
+    """After a partition, a member that did not know yet that the others were
+    back reset the requests that they had placed."""
+    node = make_node()
+    packet = make_packet(ACK, port=FEED_PORT)
+    relay = Relay(RelayKind.TO_OWNER, '', (), packet, 'lb-9')
+    dropped = (DropPacket('sender_unknown'),)
+    advance(node, 1.1)
+    assert receive_relay(node, relay, 1.1) == dropped
+    node.reachable = frozenset(('lb-9',))
+    assert RefuseFlow(packet) in receive_relay(node, relay, 1.1)
+
+
+def test_known_flow_of_an_unknown_sender_is_forwarded():
+    """Guards against open flows that stall while views of the members differ."""
+    node = make_node()
+    host = open_flow(node)
+    relay = Relay(RelayKind.TO_OWNER, '', (), make_packet(ACK), 'lb-9')
+    (forwarded,) = receive_relay(node, relay, 1.1)
+    assert forwarded.host == host
+
+
+def test_lookup_continues_at_previous_owners_unknown_to_the_requester():
+    """After a partition, an owner that had found one member of the other side
+    reset the requests that another member of that side had placed."""
+    node = make_node()
+    own = node.membership.own
+    second, third = (
+        Member(f'lb-{n}', 'qc-1', '127.0.0.1', 3, 4) for n in (2, 3)
+    )
+    replace_ownership(node.ownership_history, (own, third), 0.5)
+    replace_ownership(node.ownership_history, (own, second, third), 1.0)
+    node.reachable = frozenset(('lb-1', 'lb-2', 'lb-3'))
+    asked = set()
+    for port in range(200):
+        packet = make_packet(ACK, caller_port=port)
+        slot = get_hash_slot(packet.flow_key)
+        if node.ownership.owners[slot] != 'lb-2':
+            continue
+        relay = Relay(RelayKind.LOOKUP, 'lb-2', (), packet)
+        (effect,) = receive_relay(node, relay, 0.1)
+        if effect.relay.kind is RelayKind.LOOKUP:
+            assert effect.member == 'lb-3'
+            assert effect.relay.remaining_members == ('lb-2',)
+            asked.add(effect.member)
+    assert asked == {'lb-3'}
+
+
+def test_extended_lookup_ends_at_the_requester():
+    """Guards against a lookup that members pass on without end."""
+    node = make_node()
+    advance(node, 1.1)
+    packet = make_packet(ACK, port=FEED_PORT)
+    relay = Relay(RelayKind.LOOKUP, 'lb-1', (), packet)
+    assert RefuseFlow(packet) in receive_relay(node, relay, 1.1)
--- a/balsamshed/node/traffic.py
+++ b/balsamshed/node/traffic.py
@@ -56,7 +56,8 @@
 #: while a member that may hold the entry is unreachable.
 UNREACHABLE_HOLDER_SECONDS: Final = 30.0
 #: Time after a change of owner in which a SYN may be a retransmission that
-#: the previous owner has already placed.
+#: the previous owner has already placed, and in which members may not know all
+#: previous owners yet.
 SYN_RETRANSMISSION_SECONDS: Final = 10.0
 
 Effects = tuple[Effect, ...]
@@ -95,7 +96,8 @@
         get_hash_slot(packet.flow_key)
     ]
     if owner != node.name:
-        return (SendRelay(owner, Relay(RelayKind.TO_OWNER, '', (), packet)),)
+        relay = Relay(RelayKind.TO_OWNER, '', (), packet, node.name)
+        return (SendRelay(owner, relay),)
     return _serve_as_owner(node, packet, route, now)
 
 
@@ -144,8 +146,13 @@
     if is_misdirected and packet.flow_key not in node.flows.placements:
         # The membership views of both members differ. The requester field
         # marks the packet as relayed again, so that a loop is impossible.
-        onward = Relay(RelayKind.TO_OWNER, node.name, (), packet)
+        onward = Relay(RelayKind.TO_OWNER, node.name, (), packet, relay.sender)
         return (SendRelay(owner, onward),)
+    if _may_be_held_by_unknown_members(node, relay):
+        # The sender is back from a partition, and the members on its side may
+        # hold the flow. A dropped packet is retransmitted; a reset would end
+        # the flow.
+        return (DropPacket('sender_unknown'),)
     return _serve_as_owner(node, packet, route, now)
 
 
@@ -208,6 +215,14 @@
     return (ForwardPacket(packet, placement.host),)
 
 
+def _may_be_held_by_unknown_members(node: Node, relay: Relay) -> bool:
+    if not relay.sender or relay.sender in node.reachable:
+        return False
+    packet = relay.packet
+    is_known = packet.flow_key in node.flows.placements
+    return not is_known and not packet.flags & _SYN
+
+
 def _reset_flow(node: Node, packet: Packet, now: float) -> Effects:
     discard_flow(node, packet.flow_key, FlowOutcome.UNKNOWN, now)
     return (RefuseFlow(packet), CountEvent('flow_reset_host_gone'))
@@ -239,7 +254,10 @@
         if flow_key not in node.flows.ended:
             _send_entry_to_requester(node, flow_key, relay.requester, now)
         return effects
-    targets = relay.remaining_members or _find_other_owner(node, relay)
+    if relay.requester == node.name:
+        # A member extended the lookup, and nobody has the entry.
+        return _serve_without_lookup(node, packet, route, now)
+    targets = relay.remaining_members or _extend_lookup(node, relay, now)
     if targets:
         onward = Relay(relay.kind, relay.requester, targets[1:], packet)
         return (SendRelay(targets[0], onward),)
@@ -247,14 +265,28 @@
     return (SendRelay(relay.requester, returned),)
 
 
-def _find_other_owner(node: Node, relay: Relay) -> tuple[str, ...]:
-    """Return the owner of a flow if the requester does not know this owner.
+def _extend_lookup(node: Node, relay: Relay, now: float) -> tuple[str, ...]:
+    """Return members to ask that the requester may not know.
 
-    After a partition, members discover each other one by one. The owner ranks
-    higher than this member in both views, so a lookup cannot loop.
+    After a partition, members discover each other one by one. A requester that
+    has found only this member cannot ask the others of its side. The current
+    owner ranks higher than this member in both views, so that lookup cannot
+    loop; a lookup at previous owners ends at the requester.
     """
-    owner = node.ownership.owners[get_hash_slot(relay.packet.flow_key)]
-    return () if owner in {node.name, relay.requester} else (owner,)
+    slot = get_hash_slot(relay.packet.flow_key)
+    known = {node.name, relay.requester}
+    owner = node.ownership.owners[slot]
+    if owner not in known:
+        return (owner,)
+    history = node.ownership_history
+    if not has_changed_owner(history, slot, now, SYN_RETRANSMISSION_SECONDS):
+        return ()
+    previous = [
+        name
+        for name in list_previous_owners(history, slot, node.reachable, now)
+        if name not in known
+    ]
+    return (*previous, relay.requester) if previous else ()
 
 
 def _send_entry_to_requester(
--- a/testbed/tests/test_codecs.py
+++ b/testbed/tests/test_codecs.py
@@ -11,7 +11,11 @@
     rewrite_destination,
     rewrite_source,
 )
-from balsamshed.codecs.relays import decode_relay, encode_relay
+from balsamshed.codecs.relays import (
+    RELAY_FIRST_BYTE,
+    decode_relay,
+    encode_relay,
+)
 from balsamshed.flows.packets import (
     Packet,
     Relay,
@@ -114,11 +118,20 @@
     to reach all of them."""
     packet = decode_packet(build_segment(1, 2, (3, 4), TcpFlag.ACK, b'data'))
     relay = Relay(kind, requester, tuple(remaining_members), packet)
-    if kind is RelayKind.TO_OWNER and not requester:
-        relay = Relay(kind, '', (), packet)
+    if kind is RelayKind.TO_OWNER:
+        sender = ''.join(remaining_members[:1])
+        relay = Relay(kind, requester, (), packet, sender)
     assert decode_relay(encode_relay(relay)) == relay
 
 
+def test_relay_of_an_older_build_names_no_sender():
+    """Guards against packets dropped while balancers of two builds run."""
+    raw = build_segment(1, 2, (3, 4), TcpFlag.ACK, b'data')
+    header = bytes((RELAY_FIRST_BYTE, RelayKind.TO_OWNER, 0, 0))
+    relay = decode_relay(header + raw)
+    assert relay == Relay(RelayKind.TO_OWNER, '', (), decode_packet(raw))
+
+
 def test_checksum_of_a_known_header():
     """Guards against a wrong checksum, by the example of RFC 1071, section 3."""
     octets = bytes.fromhex('0001f203f4f5f6f7')
