Use a connection of its own for each HTTP call

Cause: a client that used its connection again took a late second copy of a response for the response to the next request. Where the store or a proxy before it repeats an answer, a list of endpoints could be applied as the next page, or an old revision as a confirmation.

Ruled out: checking that a response fits its request. Two polls of the revision look the same.

Change: HttpSession (edge balancers) and the agent of balancers open a connection for each call; only the first response of the current connection counts. The test site of edge balancers takes its ports from testbed.ports.

--- a/balsamshed/front_ends/http_client.py
+++ b/balsamshed/front_ends/http_client.py
@@ -25,8 +25,12 @@
 
 
 def create_http_agent(reactor: Any) -> IAgent:
-    """Create an HTTP client that keeps connections open between calls."""
-    pool = HTTPConnectionPool(reactor)
+    """Create an HTTP client that opens a connection for each call.
+
+    On a connection that is used again, a late second copy of a response would
+    be taken for the response to the next call.
+    """
+    pool = HTTPConnectionPool(reactor, persistent=False)
     return Agent(reactor, pool=pool, connectTimeout=CONNECT_TIMEOUT_SECONDS)
 
 
--- a/balsamshed/front_ends/http_session.py
+++ b/balsamshed/front_ends/http_session.py
@@ -1,8 +1,8 @@
-"""HTTP client with one connection and one request at a time.
+"""HTTP client with one request at a time, each on a connection of its own.
 
-Every request has a time limit. After a failure the connection is closed and
-the next request opens a new one, since a connection on which a response was
-lost may never deliver another.
+Every request has a time limit. A connection is never used again: a late second
+copy of a response would be taken for the response to the next request, and a
+connection on which a response was lost may never deliver another.
 """
 
 from asyncio import (
@@ -92,18 +92,19 @@
             'timed_out',
         )
         self._request = (
-            f'GET {path} HTTP/1.1\r\nHost: {self._server.host}\r\n\r\n'
+            f'GET {path} HTTP/1.1\r\n'
+            f'Host: {self._server.host}\r\n'
+            'Connection: close\r\n\r\n'
         ).encode('ascii')
-        if self._connection is None:
-            self._connecting = self._loop.create_task(self._connect())
-        else:
-            self._connection.send(self._request)
-
-    def finish_request(self, response: HttpResponse, is_reusable: bool) -> None:
-        """Deliver a response; close the connection if it is not reusable."""
-        if not is_reusable:
+        self._connecting = self._loop.create_task(self._connect())
+
+    def finish_request(
+        self, connection: '_ClientConnection', response: HttpResponse
+    ) -> None:
+        """Deliver the first response of the current connection."""
+        if connection is self._connection:
             self._close_connection()
-        self._report_outcome(response)
+            self._report_outcome(response)
 
     def fail_request(self, reason: str) -> None:
         """Fail the request in progress and close its connection."""
@@ -127,6 +128,13 @@
             self._connection = None
             self.fail_request('connection_lost')
 
+    def handle_malformed_response(
+        self, connection: '_ClientConnection'
+    ) -> None:
+        """Fail the request in progress if its response is malformed."""
+        if connection is self._connection:
+            self.fail_request('malformed')
+
     async def _connect(self) -> None:
         try:
             _, connection = await self._loop.create_connection(
@@ -178,7 +186,7 @@
         try:
             self._parser.feed_data(data)
         except HttpParserError:
-            self._session.fail_request('malformed')
+            self._session.handle_malformed_response(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._session.handle_closed_connection(self)
@@ -197,7 +205,4 @@
             self._parser.get_status_code(),
             b''.join(self._body),
         )
-        is_reusable = self._parser.should_keep_alive()
-        self._parser = HttpResponseParser(self)
-        self._body = []
-        self._session.finish_request(response, is_reusable)
+        self._session.finish_request(self, response)
--- a/testbed/edge_site.py
+++ b/testbed/edge_site.py
@@ -7,7 +7,6 @@
 import asyncio
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -21,6 +20,7 @@
 
 from balsamshed.logs.lines import parse_line
 from testbed.metadata_store import MetadataStore, put_object, serve_store
+from testbed.ports import reserve_ports
 
 CALLER_HOST: Final = '127.0.0.1'
 SERVICE_HOST: Final = '198.51.100.1'
@@ -32,10 +32,6 @@
 WAIT_TIMEOUT_SECONDS: Final = 8
 
 _PORTS_PER_SITE: Final = 60
-_FIRST_PORT: Final = 12_000
-_END_PORT: Final = 32_000
-#: Bound sockets that reserve the port blocks of this process.
-_PORT_BLOCK_SOCKETS: Final[list[socket.socket]] = []
 _COOKIE_OFFSET: Final = 18
 
 
@@ -248,36 +244,6 @@
     return int(unpack_from('<I', datagram, _COOKIE_OFFSET)[0])
 
 
-def reserve_ports(count: int) -> range:
-    """Reserve a block of ports for this process until it ends.
-
-    The ports lie below the range that the system uses for outgoing
-    connections. A block is never reused: a listening socket stays open after
-    its event loop has ended, until it is garbage-collected, and a second bind
-    to its port would fail.
-
-    Raises
-    ------
-    OSError
-        If every block is reserved.
-    """
-    blocks = list(range(_FIRST_PORT, _END_PORT - count, count + 1))
-    random.shuffle(blocks)
-    for first in blocks:
-        reservation = socket.socket()
-        try:
-            reservation.bind((CALLER_HOST, first))
-        except OSError:
-            # Another site, of this or another process, holds this block.
-            reservation.close()
-            continue
-        _PORT_BLOCK_SOCKETS.append(reservation)
-        return range(first + 1, first + 1 + count)
-    raise OSError(
-        f'no free block of {count} ports between {_FIRST_PORT} and {_END_PORT}'
-    )
-
-
 async def wait_until(is_met: Callable[[], Any], description: str) -> None:
     """Wait until a condition holds.
 
