Contain unexpected errors and malformed entries

Cause: (a) an exception in a tick of an edge balancer ended its ticks for good, since the next one was scheduled at its end; one while a list was applied left a read in progress that never ended. (b) An entry of another writer with 10**400 slots raised an OverflowError in each placement on its service; one with such a warm-up time in each read. (c) A deeply nested body raised a RecursionError; a page whose last object has no name ended the list early, so that the endpoints of the next pages counted as gone; a name outside ASCII broke the request for the next page.

Change: periodic calls go on after an error, the loop's exception handler logs and counts `internal_error` with its place, a failed read ends and is retried; numbers of entries and types of a peer's rows are checked; names are quoted; incomplete lists are rejected. The timer of `balsamshed run` is contained as well.

Ruled out: surrogates in names of services, which the log lines escape already.

--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -19,7 +19,17 @@
     create_route_table,
 )
 
-_DECODE_ERRORS: Final = (ValueError, TypeError, KeyError, AttributeError)
+_DECODE_ERRORS: Final = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    RecursionError,
+)
+#: Types of an endpoint's row. The remaining warm-up time, its last field but
+#: one, is a whole number where the endpoint is warm.
+_FIRST_TYPES: Final = (int, int, str, str, int, str, int, bool)
+_ROW_TYPES: Final = ((*_FIRST_TYPES, float, int), (*_FIRST_TYPES, int, int))
 
 
 def encode_view(view: StoreView) -> bytes:
@@ -99,7 +109,7 @@
 
 def _decode_endpoint_view(document: Any) -> EndpointView | EndpointChanges:
     revision, max_revision = int(document['revision']), int(document['newest'])
-    endpoints = tuple(Endpoint(*row) for row in document['endpoints'])
+    endpoints = tuple(map(_decode_endpoint, document['endpoints']))
     if 'base' not in document:
         return EndpointView(revision, endpoints, max_revision)
     return EndpointChanges(
@@ -112,6 +122,13 @@
     )
 
 
+def _decode_endpoint(row: Any) -> Endpoint:
+    types = tuple(map(type, row))
+    if types not in _ROW_TYPES:
+        raise TypeError(f'row of an endpoint has the types {types}')
+    return Endpoint(*row)
+
+
 def _decode_routes(document: Any) -> RouteTable:
     return create_route_table(
         document['version'],
--- a/balsamshed/front_ends/edge_context.py
+++ b/balsamshed/front_ends/edge_context.py
@@ -5,6 +5,7 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from types import TracebackType
 from typing import Any, Final
 
 from balsamshed.edge.effects import EdgeEffect, LogEvent
@@ -121,3 +122,46 @@
             address.port,
         ),
     )
+
+
+def handle_loop_error(
+    process: EdgeProcess, _loop: AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    """Log an error that a callback raised; the loop goes on.
+
+    Parameters
+    ----------
+    process : EdgeProcess
+        Process whose callback failed.
+    _loop : AbstractEventLoop
+        Event loop.
+    context : dict of str to object
+        Description of the error by the event loop.
+    """
+    error = context.get('exception')
+    if isinstance(error, Exception):
+        report_error(process, error)
+    else:
+        reason = context.get('message')
+        log_event(process, 'internal_error', lambda: {'error': reason})
+
+
+def report_error(process: EdgeProcess, error: Exception) -> None:
+    """Count an unexpected error and log it with the line that raised it."""
+    log_event(
+        process,
+        'internal_error',
+        lambda: {
+            'error': f'{type(error).__name__}: {error}',
+            'place': _find_place(error.__traceback__),
+        },
+    )
+
+
+def _find_place(traceback: TracebackType | None) -> str:
+    """Return the file and the line of the innermost frame."""
+    if traceback is None:
+        return ''
+    while traceback.tb_next is not None:
+        traceback = traceback.tb_next
+    return f'{traceback.tb_frame.f_code.co_filename}:{traceback.tb_lineno}'
--- a/balsamshed/front_ends/edge_process.py
+++ b/balsamshed/front_ends/edge_process.py
@@ -20,6 +20,7 @@
 from balsamshed.front_ends.edge_context import (
     EdgeProcess,
     execute_effects,
+    handle_loop_error,
     log_event,
     log_event_effect,
     read_clock,
@@ -29,6 +30,7 @@
 from balsamshed.front_ends.edge_peers import open_peer_port
 from balsamshed.front_ends.edge_settings import reload_settings
 from balsamshed.front_ends.edge_store import read_store
+from balsamshed.front_ends.event_loop import call_periodically
 from balsamshed.front_ends.http_server import ServerResponse
 from balsamshed.front_ends.http_session import HttpSession
 from balsamshed.front_ends.wire_format import WireFormat
@@ -77,19 +79,14 @@
         process, settings.metrics, partial(_handle_operator_request, process)
     )
 
-    def check_settings() -> None:
-        # The file may change without a SIGHUP, so it is also polled.
-        reload_settings(process, read_change)
-        loop.call_later(SETTINGS_CHECK_INTERVAL_SECONDS, check_settings)
-
     def tick() -> None:
-        execute_effects(process, handle_tick(process.edge, read_clock()))
+        # First, so that the lines of a tick that failed are written too.
         write_lines(process.log_lines, write)
-        loop.call_later(TICK_SECONDS, tick)
+        execute_effects(process, handle_tick(process.edge, read_clock()))
 
-    _install_signal_handlers(
-        process, partial(reload_settings, process, read_change)
-    )
+    loop.set_exception_handler(partial(handle_loop_error, process))
+    check_settings = partial(reload_settings, process, read_change)
+    _install_signal_handlers(process, check_settings)
     log_event(
         process,
         'started',
@@ -99,8 +96,9 @@
             'seeds': len(settings.seeds),
         },
     )
-    loop.call_soon(tick)
-    loop.call_later(SETTINGS_CHECK_INTERVAL_SECONDS, check_settings)
+    call_periodically(loop, TICK_SECONDS, tick)
+    # The file may change without a SIGHUP, so it is also polled.
+    call_periodically(loop, SETTINGS_CHECK_INTERVAL_SECONDS, check_settings)
     loop.run_forever()
     log_event(process, 'stopped', lambda: dict(process.counts))
     write_lines(process.log_lines, write)
--- a/balsamshed/front_ends/edge_store.py
+++ b/balsamshed/front_ends/edge_store.py
@@ -15,6 +15,7 @@
     log_event,
     read_clock,
     record_duration,
+    report_error,
 )
 from balsamshed.front_ends.http_session import HttpFailure
 from balsamshed.front_ends.source_reader import SourceListing, read_source
@@ -40,16 +41,30 @@
 ) -> None:
     now = read_clock()
     record_duration(process, 'store_read', now - started_at)
+    try:
+        effects = _apply_outcome(process, source, outcome, now)
+    except Exception as error:
+        # A read that never ends would be the last one of this process.
+        report_error(process, error)
+        failure = HttpFailure('internal_error')
+        effects = _apply_outcome(process, source, failure, now)
+    execute_effects(process, effects)
+
+
+def _apply_outcome(
+    process: EdgeProcess,
+    source: Source,
+    outcome: SourceListing | HttpFailure,
+    now: float,
+) -> list[EdgeEffect]:
     if isinstance(outcome, HttpFailure):
         process.counts['store_reads_failed'] += 1
-        effects = handle_read_failed(process.edge, source, outcome.reason, now)
-    elif source is Source.REVISION:
-        effects = handle_revision(process.edge, outcome.revision)
-    elif source is Source.ENDPOINTS:
-        effects = _apply_endpoints(process, outcome, now)
-    else:
-        effects = _apply_routes(process, outcome, now)
-    execute_effects(process, effects)
+        return handle_read_failed(process.edge, source, outcome.reason, now)
+    if source is Source.REVISION:
+        return handle_revision(process.edge, outcome.revision)
+    if source is Source.ENDPOINTS:
+        return _apply_endpoints(process, outcome, now)
+    return _apply_routes(process, outcome, now)
 
 
 def _apply_endpoints(
--- a/balsamshed/front_ends/effect_handlers.py
+++ b/balsamshed/front_ends/effect_handlers.py
@@ -35,14 +35,30 @@
         Handles an event.
     """
 
-    def execute(effects: Iterable[Effect]) -> None:
-        for effect in effects:
+    def execute(event: Event) -> None:
+        for effect in handle_event(event):
             effect_handlers[type(effect)](effect)
 
-    def sink(event: Event) -> None:
+    return contain_errors(execute, report_failure)
+
+
+def contain_errors(
+    function: Callable[..., None], report_failure: Callable[[], None]
+) -> Callable[..., None]:
+    """Return a function that reports an unexpected exception of another one.
+
+    Parameters
+    ----------
+    function : callable
+        Function to call.
+    report_failure : callable
+        Called in the handler of the exception.
+    """
+
+    def call(*arguments: Any) -> None:
         try:
-            execute(handle_event(event))
+            function(*arguments)
         except Exception:
             report_failure()
 
-    return sink
+    return call
--- a/balsamshed/front_ends/event_loop.py
+++ b/balsamshed/front_ends/event_loop.py
@@ -6,7 +6,7 @@
 """
 
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any, Final
 
@@ -31,3 +31,35 @@
         yield loop
     finally:
         loop.close()
+
+
+def call_periodically(
+    loop: 'AbstractEventLoop',
+    interval_seconds: float,
+    call: Callable[[], None],
+) -> None:
+    """Call a function now and again after each interval.
+
+    An error in one call does not end the series; the exception handler of the
+    loop receives it.
+
+    Parameters
+    ----------
+    loop : AbstractEventLoop
+        Event loop.
+    interval_seconds : float
+        Time from the end of one call to the next, in seconds.
+    call : callable
+        Function to call.
+    """
+
+    def run() -> None:
+        try:
+            call()
+        except Exception as error:
+            loop.call_exception_handler(
+                {'message': 'a periodic call failed', 'exception': error},
+            )
+        loop.call_later(interval_seconds, run)
+
+    loop.call_soon(run)
--- a/balsamshed/front_ends/process.py
+++ b/balsamshed/front_ends/process.py
@@ -25,6 +25,7 @@
 from balsamshed.front_ends.effect_handlers import (
     EffectHandlers,
     EventSink,
+    contain_errors,
     create_event_sink,
 )
 from balsamshed.front_ends.http_client import create_http_agent
@@ -78,10 +79,11 @@
     metrics = create_metrics()
     effect_handlers: EffectHandlers = {}
     write_log = create_event_logger()
+    report_failure = _create_failure_reporter(metrics, write_log)
     sink = create_event_sink(
         _create_event_handler(node),
         effect_handlers,
-        _create_failure_reporter(metrics, write_log),
+        report_failure,
     )
     reactor.installNameResolver(create_literal_resolver())
     with _open_ports(settings, node, metrics, sink, effect_handlers):
@@ -91,7 +93,9 @@
         effect_handlers.update(create_store_handlers(client, sink))
         effect_handlers.update(create_probe_handlers(agent, reactor, sink))
         _install_signal_handlers(sink)
-        _start_tick_timer(node, metrics, sink)
+        tick = _create_tick(node, metrics, sink)
+        # A timer that raises an exception is not called again.
+        LoopingCall(contain_errors(tick, report_failure)).start(TICK_SECONDS)
         write_log(
             'started',
             name=settings.name,
@@ -243,7 +247,9 @@
         signal.signal(number, request_leave)
 
 
-def _start_tick_timer(node: Node, metrics: Metrics, sink: EventSink) -> None:
+def _create_tick(
+    node: Node, metrics: Metrics, sink: EventSink
+) -> Callable[[], None]:
     due_at = time.monotonic()
     ticks = 0
 
@@ -257,7 +263,7 @@
         if ticks % TICKS_PER_GAUGE_UPDATE == 0:
             _set_gauges(node, metrics.set_gauge, delay)
 
-    LoopingCall(tick).start(TICK_SECONDS)
+    return tick
 
 
 def _set_gauges(
--- a/balsamshed/front_ends/source_reader.py
+++ b/balsamshed/front_ends/source_reader.py
@@ -112,12 +112,14 @@
             return
         items.extend(page.items)
         revisions.append(page.revision)
-        if page.next_after and len(revisions) < MAX_PAGES:
-            request_page(page.next_after)
-        else:
+        if not page.next_after:
             handle_listing(
                 SourceListing(tuple(items), min(revisions), max(revisions)),
             )
+        elif len(revisions) < MAX_PAGES:
+            request_page(page.next_after)
+        else:
+            handle_listing(HttpFailure('too_many_pages'))
 
     request_page('')
 
--- /dev/null
+++ b/balsamshed/front_ends/tests/test_edge_errors.py
@@ -0,0 +1,110 @@
+"""Tests of unexpected errors in the process of an edge balancer."""
+
+import asyncio
+from functools import partial
+
+import pytest
+
+from balsamshed.edge.effects import LogEvent, ReadSource
+from balsamshed.edge.tests.builders import build_edge, build_endpoint
+from balsamshed.endpoints.directory import EndpointView
+from balsamshed.front_ends.edge_context import (
+    EdgeProcess,
+    handle_loop_error,
+    log_event_effect,
+)
+from balsamshed.front_ends.edge_store import read_store
+from balsamshed.front_ends.event_loop import call_periodically
+from balsamshed.front_ends.http_session import HttpResponse
+from balsamshed.front_ends.source_reader import ListPage, StoreFormat
+from balsamshed.front_ends.wire_format import WireFormat
+from balsamshed.store.polling import Source, is_read_due, start_read
+
+INTERVAL_SECONDS = 0.001
+
+
+class AnsweringSession:
+    """Session whose requests are answered at once."""
+
+    def get(self, path, timeout_seconds, handle_outcome):
+        """Answer a request."""
+        handle_outcome(HttpResponse(200, b''))
+
+
+def raise_error(*_arguments):
+    """Fail, as a fault of this program would."""
+    raise KeyError('fault')
+
+
+def decode_one_endpoint(_listing):
+    """Return a view of one endpoint."""
+    return EndpointView(1, (build_endpoint(1),), 1), ()
+
+
+def build_process(**changes):
+    """Return a process whose store answers every list with an empty page."""
+    functions = dict.fromkeys(WireFormat.__dataclass_fields__)
+    functions.update(
+        store_format=StoreFormat(
+            lambda effect, after: '/', lambda body: ListPage((), 1, '')
+        ),
+        decode_endpoints=decode_one_endpoint,
+    )
+    functions.update(changes)
+    process = EdgeProcess(
+        build_edge(), None, WireFormat(**functions), None, AnsweringSession()
+    )
+    process.effect_handlers.update(
+        {
+            ReadSource: partial(read_store, process),
+            LogEvent: partial(log_event_effect, process),
+        },
+    )
+    return process
+
+
+@pytest.mark.parametrize('function', ['decode_endpoints', 'decode_routes'])
+def test_error_while_a_read_is_applied_does_not_end_the_reads(function):
+    """Guards against a balancer that never reads the store again."""
+    process = build_process(**{function: raise_error})
+    reads = process.edge.reads
+    source = start_read(reads, 0)
+    read_store(process, ReadSource(source))
+    assert process.counts['internal_error'] == 1
+    assert is_read_due(reads, 0, True, reads.retry_at)
+    (line,) = [
+        line
+        for line in process.log_lines.lines
+        if b'event=internal_error' in line
+    ]
+    assert b'test_edge_errors.py' in line
+    assert b'KeyError' in line
+
+
+def test_error_in_a_periodic_call_does_not_end_the_series():
+    """Guards against a balancer without ticks: no reads, no reports, no logs."""
+    process = build_process()
+    loop = asyncio.new_event_loop()
+    loop.set_exception_handler(partial(handle_loop_error, process))
+    calls = []
+
+    def fail_twice():
+        calls.append(len(calls))
+        if len(calls) > 2:
+            loop.stop()
+        else:
+            raise_error()
+
+    call_periodically(loop, INTERVAL_SECONDS, fail_twice)
+    loop.run_forever()
+    loop.close()
+    assert calls == [0, 1, 2]
+    assert process.counts['internal_error'] == 2
+
+
+def test_read_of_every_source_ends():
+    """Guards against a read that is never reported as finished."""
+    process = build_process(decode_routes=lambda listing: 'no_configuration')
+    assert start_read(process.edge.reads, 0) is Source.ENDPOINTS
+    read_store(process, ReadSource(Source.ENDPOINTS))
+    assert process.edge.reads.started_at is None
--- a/balsamshed/platform/entries.py
+++ b/balsamshed/platform/entries.py
@@ -25,6 +25,11 @@
 _PORT_PATH_PATTERN: Final = re.compile('/([0-9]{1,5})/?')
 _MAX_PORT: Final = 65535
 _MS_PER_SECOND: Final = 1000
+#: Limits of numbers. Larger ones are errors of a writer, and would overflow
+#: where loads and times are computed as floating-point numbers.
+_MAX_INTEGER: Final = 2**63 - 1
+_MAX_SLOTS: Final = 1_000_000
+_MAX_DURATION_MS: Final = 86_400_000
 _READY: Final = 'ready'
 _DRAINING: Final = 'draining'
 
@@ -139,7 +144,7 @@
         port=int(port[1]),
         shares=shares,
         timeout_seconds=(
-            timeout / _MS_PER_SECOND if _is_non_negative_number(timeout) else 0
+            timeout / _MS_PER_SECOND if _is_duration(timeout) else 0
         ),
     )
 
@@ -181,16 +186,26 @@
 
 
 def _is_non_negative_integer(value: object) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+    return (
+        isinstance(value, int)
+        and not isinstance(value, bool)
+        and 0 <= value <= _MAX_INTEGER
+    )
 
 
-def _is_positive_integer(value: object) -> bool:
-    return _is_non_negative_integer(value) and value != 0
+def _is_slot_count(value: object) -> bool:
+    return (
+        isinstance(value, int)
+        and not isinstance(value, bool)
+        and 0 < value <= _MAX_SLOTS
+    )
 
 
-def _is_non_negative_number(value: object) -> bool:
-    return _is_non_negative_integer(value) or (
-        isinstance(value, float) and value >= 0
+def _is_duration(value: object) -> bool:
+    return (
+        isinstance(value, int | float)
+        and not isinstance(value, bool)
+        and 0 <= value <= _MAX_DURATION_MS
     )
 
 
@@ -211,9 +226,9 @@
     'service': _is_non_empty_string,
     'address': _is_non_empty_string,
     'zone': _is_non_empty_string,
-    'maxConcurrency': _is_positive_integer,
+    'maxConcurrency': _is_slot_count,
     'state': _is_state,
-    'warmupLeftMs': _is_non_negative_number,
+    'warmupLeftMs': _is_duration,
     'sequence': _is_non_negative_integer,
     'born': _is_optional_start_time,
 }
--- a/balsamshed/platform/listing.py
+++ b/balsamshed/platform/listing.py
@@ -1,6 +1,7 @@
 """List requests to the platform's store, and their response pages."""
 
 import json
+import re
 from collections.abc import Mapping
 from typing import Any, Final
 
@@ -8,6 +9,7 @@
 from balsamshed.front_ends.source_reader import ListPage
 from balsamshed.store.polling import Source
 
+_PLAIN_NAME: Final = re.compile('[A-Za-z0-9._-]+')
 #: Kind of object that each source lists. The last kind has no objects: its
 #: list is requested only for the store's revision.
 _OBJECT_KINDS: Final = {
@@ -21,7 +23,7 @@
     """Return the path that lists the objects of a source after a name."""
     options = []
     if after:
-        options.append(f'after={after}')
+        options.append(f'after={_quote(after)}')
     if effect.may_be_stale:
         # ``serializable`` lets a replica answer, which may be seconds behind.
         options.append('serializable=1')
@@ -40,8 +42,11 @@
     if not isinstance(items, list) or not isinstance(revision, int):
         return None
     next_after = ''
-    if content.get('hasMore') is True and items:
-        next_after = get_object_name(items[-1])
+    if content.get('hasMore') is True:
+        next_after = get_object_name(items[-1]) if items else ''
+        if not next_after:
+            # Without the rest of the list, its objects would count as gone.
+            return None
     return ListPage(tuple(items), revision, next_after)
 
 
@@ -52,9 +57,18 @@
     return name if isinstance(name, str) else ''
 
 
+def _quote(name: str) -> str:
+    if _PLAIN_NAME.fullmatch(name):
+        return name
+    # Other writers can choose any name. The module is slow to import.
+    from urllib.parse import quote
+
+    return quote(name, safe='', errors='surrogatepass')
+
+
 def _decode_json_object(body: bytes) -> Mapping[str, Any] | None:
     try:
         content = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     return content if isinstance(content, Mapping) else None
--- a/balsamshed/platform/tests/test_entries.py
+++ b/balsamshed/platform/tests/test_entries.py
@@ -1,10 +1,18 @@
 """Tests of the decoding of service discovery entries and the configuration."""
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
+from balsamshed.codecs.views import decode_view, encode_view
+from balsamshed.endpoints.directory import EndpointView
 from balsamshed.endpoints.endpoint import Endpoint
+from balsamshed.logs.stream import LineQueue, enqueue_event
+from balsamshed.peers.view import StoreView
+from balsamshed.placement.in_flight import (
+    EndpointLoadTracker,
+    choose_least_loaded,
+)
 from balsamshed.platform.entries import (
     EntryRejection,
     decode_endpoint,
@@ -170,3 +178,70 @@
     """Guards against an empty configuration that replaces a valid one."""
     entry = decode_routes(build_configuration(**{field: None}))
     assert entry == EntryRejection('main', field)
+
+
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.sampled_from([10**400, -(10**400)])
+    | st.floats()
+    | st.text()
+    | st.just('\ud800'),
+    lambda nested: st.lists(nested) | st.dictionaries(st.text(), nested),
+    max_leaves=5,
+)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(sorted(build_entry()['spec'])), JSON_VALUES
+    ),
+    JSON_VALUES,
+)
+@example({'maxConcurrency': 10**400}, 'i-2')
+@example({'warmupLeftMs': 10**400}, 'i-2')
+@example({'service': '\ud800'}, 'i-2')
+def test_entries_of_other_writers_never_raise_an_error(changes, name):
+    """Guards against one entry that ends the reads, placement or logs of a
+    balancer, whatever its fields hold."""
+    for entry_name in ('i-1', name):
+        endpoint = decode_endpoint(build_entry(entry_name, **changes))
+        if isinstance(endpoint, EntryRejection):
+            continue
+        tracker = EndpointLoadTracker('a', {}, {}, {})
+        chosen = choose_least_loaded(
+            tracker, [endpoint], None, lambda below: 0, 0
+        )
+        assert chosen is endpoint
+        queue = LineQueue()
+        fields = {'service': endpoint.service, 'zone': endpoint.data_centre}
+        enqueue_event(queue, 'endpoint_added', lambda found=fields: found, 0)
+        assert len(queue.lines) == 1
+        view = StoreView(EndpointView(1, (endpoint,), 1), None)
+        assert decode_view(encode_view(view)) == view
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(['version', 'routes', 'services']), JSON_VALUES
+    )
+)
+def test_configurations_of_other_writers_never_raise_an_error(changes):
+    """Guards against a configuration that ends the reads of a balancer."""
+    table = decode_routes(build_configuration(**changes))
+    assert isinstance(table, RouteTable | EntryRejection)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(
+            ['name', 'host', 'pathPrefix', 'service', 'timeoutMs', 'backends']
+        ),
+        JSON_VALUES,
+    )
+)
+def test_routes_of_other_writers_never_raise_an_error(route):
+    """Guards against a route that ends the reads of a balancer."""
+    table = decode_routes(build_configuration(routes=[route]))
+    assert isinstance(table, RouteTable)
--- a/balsamshed/platform/tests/test_listing.py
+++ b/balsamshed/platform/tests/test_listing.py
@@ -68,3 +68,24 @@
     broken = build_configuration(routes=None)
     listing = SourceListing((broken,), 9, 9)
     assert decode_configuration(listing) == 'invalid_routes'
+
+
+def test_page_whose_last_object_has_no_name_is_rejected():
+    """Guards against a list that ends early, so that the endpoints of its
+    other pages count as gone."""
+    for items in (b'[{"meta":{}}]', b'[]', b'[null]'):
+        body = b'{"items":%s,"hasMore":true,"currentRev":9}' % items
+        assert decode_page(body) is None
+
+
+def test_deeply_nested_body_is_rejected():
+    """Guards against a decoding error that ends the reads of a balancer."""
+    assert decode_page(b'[' * 100_000) is None
+
+
+def test_any_name_can_start_the_next_page():
+    """Guards against a name that breaks the request for the next page."""
+    effect = ReadSource(Source.ENDPOINTS)
+    path = format_list_path(effect, 'caf\u00e9 &after=\ud800')
+    assert path.isascii()
+    assert path.startswith('/v1/objects/servers?after=caf%C3%A9%20%26after%3D')
