Drop opening packets that were queued during a long pause

Cause: after a pause, the event loop serves the packets in the socket before the tick and the reports. A balancer that had stood still for seconds placed queued openings by a view as old as the pause, also on endpoints that had drained or left meanwhile.

Change: after a pause of 1.4 s or more (the time after which callers give up an opening) openings are dropped for 0.3 s, in which the peers' reports confirm or replace the view. Open flows are forwarded. The decision is in edge/packets.py, apart from the socket.

Before: test_openings_queued_during_a_long_pause_are_dropped fails, the packets are forwarded.

--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -13,6 +13,8 @@
 MIN_PAUSE_SECONDS: Final = 0.6
 #: Time in which reports queued in the socket during a pause are all read.
 STALE_REPORTS_SECONDS: Final = 0.3
+#: Callers give up on an opening packet after this time.
+OPENING_LIFETIME_SECONDS: Final = 1.4
 
 
 @dataclass(slots=True)
@@ -51,6 +53,9 @@
     stale_reports_until : float
         Until then, reports may have been queued while the process was paused,
         so their ages are not trusted.
+    openings_dropped_until : float
+        Until then, opening packets may have been queued during a pause that
+        outlasted their callers' patience, and the view may be as old.
     fetch_started_at : float or None
         Start of the fetch of a peer's view that is in progress.
     fetch_failures : int
@@ -80,6 +85,7 @@
     last_packet_at: float = 0
     last_tick_at: float = 0
     stale_reports_until: float = 0
+    openings_dropped_until: float = 0
     fetch_started_at: float | None = None
     fetch_failures: int = 0
     fetch_retry_at: float = 0
@@ -119,10 +125,10 @@
 
 
 def detect_pause(edge: Edge, now: float) -> float:
-    """Detect a pause of the process, and distrust report ages after one.
+    """Detect a pause of the process, and distrust what was queued in it.
 
-    The event loop serves sockets before timers, so the handler of
-    reports calls this as well as the tick.
+    The event loop serves sockets before timers, so the handlers of reports
+    and packets call this as well as the tick.
 
     Parameters
     ----------
@@ -140,6 +146,8 @@
     if gap < MIN_PAUSE_SECONDS:
         return 0
     edge.stale_reports_until = now + STALE_REPORTS_SECONDS
+    if gap >= OPENING_LIFETIME_SECONDS:
+        edge.openings_dropped_until = edge.stale_reports_until
     return gap
 
 
--- a/balsamshed/front_ends/edge_packets.py
+++ b/balsamshed/front_ends/edge_packets.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from balsamshed.edge.explanations import explain_opening, explain_refusal
+from balsamshed.edge.packets import handle_packet
 from balsamshed.front_ends.datagram_socket import DatagramSocket
 from balsamshed.front_ends.edge_context import (
     EdgeProcess,
@@ -11,7 +12,6 @@
     read_clock,
     record_duration,
 )
-from balsamshed.steering.decisions import steer_packet
 from balsamshed.steering.packets import (
     DropPacket,
     FlowPacket,
@@ -27,7 +27,6 @@
 def open_packet_socket(process: EdgeProcess) -> None:
     """Receive callers' packets from the platform's routers."""
     edge, wire, counts = process.edge, process.wire, process.counts
-    steering = edge.steering
     caller_port = process.settings.packets.port
 
     def handle_datagram(datagram: bytes, _sender: tuple[str, int]) -> None:
@@ -36,8 +35,7 @@
         if not isinstance(packet, FlowPacket):
             counts[f'malformed_{packet.reason}'] += 1
             return
-        edge.last_packet_at = now
-        effect = steer_packet(steering, packet, now)
+        effect = handle_packet(edge, packet, now)
         counts['packets'] += 1
         if isinstance(effect, ForwardFlow):
             endpoint = effect.endpoint
