Reset idempotent flows of endpoints that no longer respond

The balancer forwarded each copy of the request to nobody.

Change: routes say whether their requests may run more than once. A flow of such a route is reset when three observations agree: three copies of its request without an acknowledgement (0.6 s), no answer of the endpoint to any flow meanwhile, and a second witness: unanswered packets of another flow here or at a peer, or a missing entry. Repeated requests make an endpoint suspected, as repeated openings do. Requests that may run once only are never given up, and silence towards the store alone ends no flow.

--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -101,6 +101,7 @@
                 route.port,
                 [[share.service, share.weight] for share in route.shares],
                 route.timeout_seconds,
+                route.is_idempotent,
             ]
             for route in routes.routes.values()
         ],
@@ -139,8 +140,12 @@
                 port,
                 tuple(ServiceShare(*share) for share in shares),
                 timeout,
+                # Balancers of older builds do not send the last field.
+                *is_idempotent,
+            )
+            for name, address, port, shares, timeout, *is_idempotent in (
+                document['routes']
             )
-            for name, address, port, shares, timeout in document['routes']
         ],
         document['services'],
     )
--- a/balsamshed/edge/tests/builders.py
+++ b/balsamshed/edge/tests/builders.py
@@ -55,6 +55,7 @@
         'cookie': 0,
         'attempt': 0,
         'acknowledged': 0,
+        'sequence': 0,
         'raw': b'',
         **changes,
     }
--- a/balsamshed/edge/tests/test_lifecycle.py
+++ b/balsamshed/edge/tests/test_lifecycle.py
@@ -26,7 +26,7 @@
 from balsamshed.peers.table import add_peer_addresses
 from balsamshed.placement.in_flight import (
     MIN_SUSPICION_SECONDS,
-    record_unanswered_opening,
+    record_unanswered_packet,
 )
 from balsamshed.steering.decisions import steer_packet
 from balsamshed.store.polling import Source
@@ -60,7 +60,9 @@
     edge = build_serving_edge()
     add_peer_addresses(edge.peer_table, ['10.9.0.2'], 0)
     steer_packet(edge.steering, build_packet(), 0.1)
-    record_unanswered_opening(edge.steering.load_tracker, ENDPOINT.cookie, 0.1)
+    record_unanswered_packet(
+        edge.steering.load_tracker, ENDPOINT.cookie, b'flow', 0.1
+    )
     (effect,) = [
         effect
         for effect in handle_tick(edge, 0.2)
@@ -76,7 +78,9 @@
 def test_start_and_end_of_a_suspicion_are_logged():
     """Guards against flows that avoid an endpoint without a log entry."""
     edge = build_serving_edge()
-    record_unanswered_opening(edge.steering.load_tracker, ENDPOINT.cookie, 0.1)
+    record_unanswered_packet(
+        edge.steering.load_tracker, ENDPOINT.cookie, b'flow', 0.1
+    )
 
     def list_names(now):
         return [
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -279,6 +279,7 @@
     endpoint = change.endpoint
     if change.kind in _RESET_KINDS:
         forget_endpoint(steering.load_tracker, endpoint.cookie)
+        steering.requests.answered_at.pop(endpoint.cookie, None)
     if endpoint.warm_up_seconds > 0:
         steering.load_tracker.warm_until[endpoint.cookie] = (
             now + endpoint.warm_up_seconds
--- a/balsamshed/placement/in_flight.py
+++ b/balsamshed/placement/in_flight.py
@@ -33,7 +33,7 @@
 
 @dataclass(slots=True)
 class Suspicion:
-    """Suspicion of an endpoint that left opening packets unanswered.
+    """Suspicion of an endpoint that left packets unanswered.
 
     Attributes
     ----------
@@ -41,10 +41,14 @@
         Number of suspicions since the last answered opening packet.
     until : float
         Monotonic seconds until which the endpoint is avoided.
+    witnesses : set of bytes
+        Keys of the flows whose packets were not answered, since the last
+        suspicion began.
     """
 
     failures: int = 0
     until: float = 0
+    witnesses: set[bytes] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -151,20 +155,40 @@
     return suspicion is not None and suspicion.until > now
 
 
-def record_unanswered_opening(
+def record_unanswered_packet(
     tracker: EndpointLoadTracker,
     cookie: int,
+    flow_key: bytes,
     now: float,
 ) -> Suspicion:
-    """Record that an endpoint left an opening packet unanswered."""
+    """Record that an endpoint left a packet of a flow unanswered.
+
+    Parameters
+    ----------
+    tracker : EndpointLoadTracker
+        Changed in place.
+    cookie : int
+        Cookie of the endpoint.
+    flow_key : bytes
+        Key of the flow whose caller repeated an opening packet or a request.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    Suspicion
+        The current suspicion.
+    """
     suspicion = tracker.suspicions.setdefault(cookie, Suspicion())
     if suspicion.until <= now:
+        suspicion.witnesses.clear()
         # Openings lost together count once: none is counted during a
         # suspicion.
         suspicion.failures += 1
         doublings = min(suspicion.failures - 1, 8)
         length = MIN_SUSPICION_SECONDS * (1 << doublings)
         suspicion.until = now + min(length, MAX_SUSPICION_SECONDS)
+    suspicion.witnesses.add(flow_key)
     return suspicion
 
 
--- a/balsamshed/placement/tests/test_in_flight.py
+++ b/balsamshed/placement/tests/test_in_flight.py
@@ -9,7 +9,7 @@
     choose_least_loaded,
     is_suspected,
     record_answered_opening,
-    record_unanswered_opening,
+    record_unanswered_packet,
 )
 
 NEAR = build_endpoint(1)
@@ -59,15 +59,15 @@
 def test_suspected_endpoint_is_avoided_for_longer_each_time():
     """Guards against repeatedly opening flows at an endpoint that is down."""
     tracker = build_tracker()
-    record_unanswered_opening(tracker, NEAR.cookie, 0)
+    record_unanswered_packet(tracker, NEAR.cookie, b'flow', 0)
     assert choose(tracker, NEAR, SECOND) == SECOND
     assert choose(tracker, NEAR, SECOND, now=MIN_SUSPICION_SECONDS) == NEAR
     now = 1
     for _ in range(10):
-        record_unanswered_opening(tracker, NEAR.cookie, now)
+        record_unanswered_packet(tracker, NEAR.cookie, b'flow', now)
         now = tracker.suspicions[NEAR.cookie].until
     assert is_suspected(tracker, NEAR.cookie, now - 0.1)
-    record_unanswered_opening(tracker, NEAR.cookie, now)
+    record_unanswered_packet(tracker, NEAR.cookie, b'flow', now)
     until = tracker.suspicions[NEAR.cookie].until
     assert until - now == MAX_SUSPICION_SECONDS
     record_answered_opening(tracker, NEAR.cookie)
@@ -78,15 +78,15 @@
     """Guards against a long suspicion after one short interruption."""
     tracker = build_tracker()
     for _ in range(10):
-        record_unanswered_opening(tracker, NEAR.cookie, 0)
+        record_unanswered_packet(tracker, NEAR.cookie, b'flow', 0)
     assert tracker.suspicions[NEAR.cookie].failures == 1
 
 
 def test_service_whose_endpoints_are_all_suspected_is_still_tried():
     """Guards against refusing all flows when this balancer's network fails."""
     tracker = build_tracker()
-    record_unanswered_opening(tracker, NEAR.cookie, 0)
-    record_unanswered_opening(tracker, SECOND.cookie, 0)
+    record_unanswered_packet(tracker, NEAR.cookie, b'flow', 0)
+    record_unanswered_packet(tracker, SECOND.cookie, b'flow', 0)
     assert choose(tracker, NEAR, SECOND) is not None
 
 
--- a/balsamshed/platform/entries.py
+++ b/balsamshed/platform/entries.py
@@ -30,6 +30,8 @@
 _MAX_INTEGER: Final = 2**63 - 1
 _MAX_SLOTS: Final = 1_000_000
 _MAX_DURATION_MS: Final = 86_400_000
+#: Values of ``type`` for routes whose requests may run more than once.
+_IDEMPOTENT_TYPES: Final = ('safe', 'download')
 _READY: Final = 'ready'
 _DRAINING: Final = 'draining'
 
@@ -146,6 +148,7 @@
         timeout_seconds=(
             timeout / _MS_PER_SECOND if _is_duration(timeout) else 0
         ),
+        is_idempotent=entry.get('type') in _IDEMPOTENT_TYPES,
     )
 
 
--- a/balsamshed/platform/packets.py
+++ b/balsamshed/platform/packets.py
@@ -27,8 +27,8 @@
 
 _HEADER: Final = Struct('<I B 5s I I H H I I I H')
 #: Fields read from a caller's packet: ``flags``, ``echo``, ``dst``, ``dport``,
-#: ``ack`` and ``len``.
-_CALLER_FIELDS: Final = Struct('<4x B 5x I I 2x H 8x I H')
+#: ``seq``, ``ack`` and ``len``.
+_CALLER_FIELDS: Final = Struct('<4x B 5x I I 2x H 4x I I H')
 #: Fields needed to build a reset: ``dst``, ``sport``, ``dport``, ``src`` and
 #: ``ack``.
 _RESET_FIELDS: Final = Struct('<14x I H H I 4x I 2x')
@@ -75,7 +75,7 @@
     size = len(datagram)
     if size < HEADER_BYTES:
         return MalformedPacket(MalformedReason.TOO_SHORT)
-    flags, echo, destination, port, acknowledged, length = (
+    flags, echo, destination, port, sequence, acknowledged, length = (
         _CALLER_FIELDS.unpack_from(datagram)
     )
     if length > MAX_DATA_BYTES or size != HEADER_BYTES + length:
@@ -89,6 +89,7 @@
         # ``ack`` of an opening packet is its number of retransmissions.
         acknowledged if is_opening else 0,
         0 if is_opening else acknowledged,
+        sequence,
         datagram,
     )
 
--- a/balsamshed/platform/tests/test_entries.py
+++ b/balsamshed/platform/tests/test_entries.py
@@ -245,3 +245,22 @@
     """Guards against a route that ends the reads of a balancer."""
     table = decode_routes(build_configuration(routes=[route]))
     assert isinstance(table, RouteTable)
+
+
+@pytest.mark.parametrize(
+    ('type_name', 'expected'),
+    [
+        ('safe', True),
+        ('download', True),
+        ('unsafe', False),
+        ('upload', False),
+        (None, False),
+        (['safe'], False),
+    ],
+)
+def test_only_known_types_of_requests_may_be_repeated(type_name, expected):
+    """Guards against a request that runs twice because its type is new."""
+    configuration = build_configuration()
+    configuration['spec']['routes'][0]['type'] = type_name
+    (route,) = decode_routes(configuration).routes.values()
+    assert route.is_idempotent is expected
--- a/balsamshed/routes/table.py
+++ b/balsamshed/routes/table.py
@@ -39,6 +39,8 @@
         Services of the route, at least one.
     timeout_seconds : float
         Maximum duration of a request of the route.
+    is_idempotent : bool
+        Whether callers may repeat a request that may have run.
     """
 
     name: str
@@ -46,6 +48,7 @@
     port: int
     shares: tuple[ServiceShare, ...]
     timeout_seconds: float
+    is_idempotent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -15,7 +15,7 @@
     EndpointLoadTracker,
     choose_least_loaded,
     record_answered_opening,
-    record_unanswered_opening,
+    record_unanswered_packet,
 )
 from balsamshed.random_numbers import RandBelow
 from balsamshed.routes.table import Route, RouteTable, choose_newer
@@ -31,9 +31,15 @@
     LatencySample,
     RequestStage,
     RequestTable,
+    end_request,
     record_opening,
     track_packet,
 )
+from balsamshed.steering.unresponsive import (
+    find_unanswered_request,
+    has_enough_copies,
+    is_doubted_elsewhere,
+)
 
 #: Callers do not retransmit an opening packet sooner than this. A repeated one
 #: that arrives earlier was duplicated by the network; a later one means that
@@ -47,6 +53,7 @@
 _NO_ROUTE: Final = ResetFlow('no_route')
 _ROUTE_REMOVED: Final = ResetFlow('route_removed')
 _NO_ENDPOINT: Final = ResetFlow('no_endpoint')
+_ENDPOINT_UNRESPONSIVE: Final = ResetFlow('endpoint_unresponsive')
 _UNKNOWN_ROUTE: Final = DropPacket('unknown_route')
 _UNKNOWN_COOKIE: Final = DropPacket('unknown_cookie')
 
@@ -162,6 +169,12 @@
     if endpoint is None:
         return _UNKNOWN_COOKIE
     _track_request(steering, packet, now)
+    is_unresponsive = packet.kind is PacketKind.DATA and _is_unresponsive(
+        steering, packet, endpoint, now
+    )
+    if is_unresponsive and route.is_idempotent:
+        end_request(steering.requests, packet.flow_key)
+        return _ENDPOINT_UNRESPONSIVE
     return ForwardFlow(endpoint, packet.cookie)
 
 
@@ -230,8 +243,8 @@
                 return ForwardFlow(endpoint, previous.cookie)
         elif packet.attempt:
             avoided_cookie = previous.cookie
-            record_unanswered_opening(
-                steering.load_tracker, avoided_cookie, now
+            record_unanswered_packet(
+                steering.load_tracker, avoided_cookie, packet.flow_key, now
             )
     service = _choose_service(steering, route)
     if service is None:
@@ -275,6 +288,25 @@
     return None
 
 
+def _is_unresponsive(
+    steering: Steering,
+    packet: FlowPacket,
+    endpoint: Endpoint,
+    now: float,
+) -> bool:
+    flow_key = packet.flow_key
+    request = find_unanswered_request(steering.requests, flow_key)
+    if request is None:
+        return False
+    tracker = steering.load_tracker
+    record_unanswered_packet(tracker, request.cookie, flow_key, now)
+    if not has_enough_copies(request, now):
+        return False
+    return is_doubted_elsewhere(
+        steering.directory, tracker, endpoint, flow_key, request.started_at
+    )
+
+
 def _find_on_previous_services(
     steering: Steering,
     packet: FlowPacket,
--- a/balsamshed/steering/packets.py
+++ b/balsamshed/steering/packets.py
@@ -36,6 +36,9 @@
     acknowledged : int
         Acknowledgement number, 32 bits: position in the endpoint's stream up
         to which the caller has received it. Zero for an opening packet.
+    sequence : int
+        Sequence number, 32 bits: position of the packet in the caller's
+        stream.
     raw : bytes
         Encoded packet as received.
     """
@@ -46,6 +49,7 @@
     cookie: int
     attempt: int
     acknowledged: int
+    sequence: int
     raw: bytes
 
 
--- a/balsamshed/steering/requests.py
+++ b/balsamshed/steering/requests.py
@@ -15,6 +15,9 @@
 #: Older requests are no longer counted: the caller has given up, or its
 #: packets reach another balancer.
 REQUEST_LIFETIME_SECONDS: Final = 2.0
+#: Copies of a request that arrive sooner were duplicated by the network, or
+#: queued in the socket; callers do not retransmit sooner than after 200 ms.
+MIN_COPY_INTERVAL_SECONDS: Final = 0.1
 #: Bounds the table to 10 MB; beyond it the oldest requests are evicted.
 MAX_PENDING_REQUESTS: Final = 50_000
 
@@ -42,14 +45,22 @@
         Stage that the request has reached.
     started_at : float
         Monotonic time of the opening packet or of the request's data.
-    acknowledged : int
-        Acknowledgement number of the packet that carried the request.
+    acknowledged, sequence : int
+        Acknowledgement number and sequence number of the packet that carried
+        the request.
+    copies : int
+        Number of times that the caller has sent this packet.
+    last_copy_at : float
+        Monotonic time of the last copy.
     """
 
     cookie: int
     stage: RequestStage
     started_at: float
     acknowledged: int = 0
+    sequence: int = 0
+    copies: int = 1
+    last_copy_at: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,10 +92,14 @@
         Requests by flow key, in the order of their start.
     counts : dict of int to int
         Number of pending requests of each endpoint, by cookie.
+    answered_at : dict of int to float
+        Monotonic time at which an endpoint last answered an opening packet or
+        a request, by cookie.
     """
 
     pending: dict[bytes, PendingRequest] = field(default_factory=dict)
     counts: dict[int, int] = field(default_factory=dict)
+    answered_at: dict[int, float] = field(default_factory=dict)
 
 
 def record_opening(
@@ -137,6 +152,7 @@
     if request.stage is RequestStage.OPENING:
         connect_seconds = now - request.started_at
         request.stage = RequestStage.OPENED
+        table.answered_at[cookie] = now
     if packet.kind is PacketKind.CLOSING:
         end_request(table, packet.flow_key)
     elif packet.kind is PacketKind.DATA:
@@ -195,7 +211,10 @@
 ) -> LatencySample | None:
     advance = (packet.acknowledged - request.acknowledged) & _SEQUENCE_MASK
     is_answered = 0 < advance < _HALF_SEQUENCE
-    if not is_answered and packet.kind is not PacketKind.CLOSING:
+    if is_answered:
+        table.answered_at[request.cookie] = now
+    elif packet.kind is not PacketKind.CLOSING:
+        _record_copy(packet, request, now)
         return None
     end_request(table, packet.flow_key)
     if packet.kind is PacketKind.DATA:
@@ -211,6 +230,19 @@
     )
 
 
+def _record_copy(
+    packet: FlowPacket, request: PendingRequest, now: float
+) -> None:
+    is_copy = (
+        packet.kind is PacketKind.DATA
+        and packet.sequence == request.sequence
+        and now - request.last_copy_at >= MIN_COPY_INTERVAL_SECONDS
+    )
+    if is_copy:
+        request.copies += 1
+        request.last_copy_at = now
+
+
 def _record_request(
     table: RequestTable,
     packet: FlowPacket,
@@ -222,6 +254,8 @@
         RequestStage.AWAITING_ANSWER,
         now,
         packet.acknowledged,
+        packet.sequence,
+        last_copy_at=now,
     )
     _add_request(table, packet.flow_key, request)
 
--- /dev/null
+++ b/balsamshed/steering/tests/test_unresponsive.py
@@ -0,0 +1,208 @@
+"""Tests of flows whose endpoint no longer responds."""
+
+import pytest
+
+from balsamshed.edge.tests.builders import (
+    ADDRESS,
+    PORT,
+    always_zero,
+    build_endpoint,
+    build_packet,
+    build_view,
+)
+from balsamshed.endpoints.directory import apply_view
+from balsamshed.peers.report import EndpointReport, PeerReport
+from balsamshed.peers.table import PeerTable, record_report
+from balsamshed.placement.in_flight import is_suspected
+from balsamshed.routes.table import Route, ServiceShare, create_route_table
+from balsamshed.steering.decisions import (
+    create_steering,
+    replace_routes,
+    steer_packet,
+)
+from balsamshed.steering.packets import ForwardFlow, PacketKind, ResetFlow
+
+RESET = ResetFlow('endpoint_unresponsive')
+FLOW = 1
+OTHER_FLOW = 2
+#: Times at which a caller sends a request that nobody acknowledges.
+COPY_TIMES = (10.0, 10.2, 10.6)
+
+
+def build_steering(is_idempotent=True, peer_table=None):
+    """Return a balancer with one endpoint and one route to it."""
+    peer_table = peer_table or PeerTable('10.9.0.1')
+    steering = create_steering('a', 60, peer_table, always_zero)
+    apply_view(steering.directory, build_view(1, build_endpoint(1)), 0)
+    shares = (ServiceShare('web'),)
+    route = Route('r', ADDRESS, PORT, shares, 1, is_idempotent)
+    replace_routes(steering, create_route_table(1, [route], ['web']))
+    return steering
+
+
+def open_flow(steering, flow=FLOW, now=9.0):
+    """Open a flow and return its cookie."""
+    cookie = steer_packet(steering, build_packet(flow=flow), now).cookie
+    acknowledge(steering, cookie, flow, now)
+    return cookie
+
+
+def acknowledge(steering, cookie, flow, now, acknowledged=0):
+    packet = build_packet(
+        PacketKind.ACKNOWLEDGEMENT,
+        flow,
+        cookie=cookie,
+        acknowledged=acknowledged,
+    )
+    return steer_packet(steering, packet, now)
+
+
+def send_request(steering, cookie, now, sequence=100):
+    packet = build_packet(
+        PacketKind.DATA, FLOW, cookie=cookie, sequence=sequence
+    )
+    return steer_packet(steering, packet, now)
+
+
+def suspect(steering, now=10.0):
+    """Leave two openings of another flow unanswered."""
+    opening = build_packet(flow=OTHER_FLOW)
+    steer_packet(steering, opening, now)
+    repeated = build_packet(flow=OTHER_FLOW, attempt=1)
+    steer_packet(steering, repeated, now + 0.2)
+
+
+def send_copies(steering, cookie, times=COPY_TIMES, **changes):
+    """Send copies of a request and return the last effect."""
+    return [send_request(steering, cookie, now, **changes) for now in times][-1]
+
+
+def test_flow_of_a_silent_and_suspected_endpoint_is_reset():
+    """Guards against callers that wait for their deadline although an endpoint
+    has crashed."""
+    steering = build_steering()
+    cookie = open_flow(steering)
+    suspect(steering)
+    assert send_copies(steering, cookie) == RESET
+
+
+def test_flow_of_a_silent_endpoint_whose_entry_is_gone_is_reset():
+    """Guards against flows that wait for an endpoint that left for good."""
+    steering = build_steering()
+    cookie = open_flow(steering)
+    apply_view(steering.directory, build_view(2, build_endpoint(2)), 9.5)
+    assert send_copies(steering, cookie) == RESET
+
+
+def test_two_silent_flows_witness_against_their_endpoint():
+    """Guards against callers that wait for their deadline where no new flow
+    was opened to show that an endpoint has crashed."""
+    steering = build_steering()
+    cookie = open_flow(steering)
+    open_flow(steering, flow=3)
+    for now in (10.0, 10.2):
+        other = build_packet(PacketKind.DATA, 3, cookie=cookie)
+        assert isinstance(steer_packet(steering, other, now), ForwardFlow)
+    assert send_copies(steering, cookie) == RESET
+
+
+def test_repeated_request_makes_its_endpoint_suspected():
+    """Guards against new flows at an endpoint that answers nothing."""
+    steering = build_steering()
+    cookie = open_flow(steering)
+    send_request(steering, cookie, 10.0)
+    assert not is_suspected(steering.load_tracker, cookie, 10.0)
+    send_request(steering, cookie, 10.2)
+    assert is_suspected(steering.load_tracker, cookie, 10.2)
+
+
+def test_suspicion_of_a_peer_is_a_second_witness():
+    """Guards against callers that wait although another balancer knows that
+    their endpoint has crashed."""
+    peer_table = PeerTable('10.9.0.1')
+    steering = build_steering(peer_table=peer_table)
+    cookie = open_flow(steering)
+    endpoints = (EndpointReport(cookie, 1, is_suspected=True),)
+    report = PeerReport('a', 1, 0, endpoints, ())
+    record_report(peer_table, '10.9.0.2', report, 10)
+    assert send_copies(steering, cookie) == RESET
+
+
+def test_requests_that_may_run_once_only_are_never_given_up():
+    """Guards against a reset while the answer may still come."""
+    steering = build_steering(is_idempotent=False)
+    cookie = open_flow(steering)
+    suspect(steering)
+    assert isinstance(send_copies(steering, cookie), ForwardFlow)
+
+
+def test_silence_of_one_flow_alone_resets_nothing():
+    """Guards against a flow given up because its packets were lost."""
+    steering = build_steering()
+    cookie = open_flow(steering)
+    assert isinstance(send_copies(steering, cookie), ForwardFlow)
+
+
+def test_missing_entry_alone_resets_nothing():
+    """Guards against running work that is given up because an endpoint was
+    silent towards the store for a while."""
+    steering = build_steering()
+    cookie = open_flow(steering)
+    apply_view(steering.directory, build_view(2, build_endpoint(2)), 9.5)
+    for now in (10.0, 10.2):
+        assert isinstance(send_request(steering, cookie, now), ForwardFlow)
+    acknowledge(steering, cookie, FLOW, 10.3, acknowledged=50)
+    assert isinstance(
+        send_request(steering, cookie, 10.6, sequence=200), ForwardFlow
+    )
+
+
+def test_endpoint_that_answers_other_flows_keeps_this_one():
+    """Guards against a reset by an endpoint that is slow, not gone."""
+    steering = build_steering()
+    cookie = open_flow(steering)
+    third = open_flow(steering, flow=3, now=9.9)
+    suspect(steering)
+    send_request(steering, cookie, 10.0)
+    request = build_packet(PacketKind.DATA, 3, cookie=third)
+    steer_packet(steering, request, 10.1)
+    acknowledge(steering, third, 3, 10.3, acknowledged=50)
+    assert isinstance(
+        send_copies(steering, cookie, times=(10.2, 10.6)), ForwardFlow
+    )
+
+
+def test_old_suspicion_resets_nothing():
+    """Guards against a suspicion that ended long ago and was never refuted."""
+    steering = build_steering()
+    cookie = open_flow(steering)
+    suspect(steering, now=3.0)
+    assert isinstance(send_copies(steering, cookie), ForwardFlow)
+
+
+@pytest.mark.parametrize(
+    'times',
+    [
+        (10.0, 10.01, 10.02),
+        (10.0, 12.0),
+        (10.0, 10.2, 10.25),
+        (10.0, 13.9, 13.9),
+    ],
+)
+def test_copies_that_were_queued_count_once(times):
+    """Guards against resets after a pause, when copies of a request arrive
+    together, or by packets that the network duplicated."""
+    steering = build_steering()
+    cookie = open_flow(steering)
+    suspect(steering)
+    assert isinstance(send_copies(steering, cookie, times=times), ForwardFlow)
+
+
+def test_segments_of_a_long_request_are_no_copies():
+    """Guards against an upload that is taken for retransmissions."""
+    steering = build_steering()
+    cookie = open_flow(steering)
+    suspect(steering)
+    for sequence, now in enumerate(COPY_TIMES, start=1):
+        effect = send_request(steering, cookie, now, sequence=sequence)
+        assert isinstance(effect, ForwardFlow)
