Import inspect only when an edge balancer uses it

Cause: dataclasses imports inspect, which imports ast, dis and tokenize: a tenth of the imports of a start. It is used only for data classes without a docstring; there was one.

Ruled out: importlib.util.LazyLoader, whose own import costs as much.

--- a/balsamshed/commands/program.py
+++ b/balsamshed/commands/program.py
@@ -27,7 +27,11 @@
     argv = list(sys.argv[1:] if arguments is None else arguments)
     if argv == ['edge']:
         # An edge balancer starts on a fifth of a core, so nothing that it
-        # does not need is imported.
+        # does not need is imported. Data classes with docstrings do not use
+        # `inspect`, which takes a tenth of the start.
+        from balsamshed.deferred_modules import defer_import
+
+        defer_import('inspect')
         from balsamshed.platform.program import run_on_platform
 
         return run_on_platform()
