Let packets wait in the socket while an edge balancer starts

Cause: the socket for packets was bound at the end of the start, and packets that came before the first view were dropped. Their callers repeated them 0.2 to 0.8 s later, or passed their deadline.

Change: the socket is bound as soon as the settings are read, before the rest of the program is loaded, and read once routes and endpoints are known. If that takes over a second, what has waited is discarded, since its callers have given up.

Ruled out: reading at once and keeping the packets in the process, a second queue beside the kernel's.

--- a/balsamshed/edge/effects.py
+++ b/balsamshed/edge/effects.py
@@ -74,9 +74,24 @@
     hosts: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptPackets:
+    """Effect: start to read the packets of callers.
+
+    Parameters
+    ----------
+    discards_queued : bool
+        Whether packets that have arrived so far are discarded.
+    """
+
+    discards_queued: bool
+
+
 @dataclass(frozen=True, slots=True)
 class StopProcess:
     """Effect: end the process."""
 
 
-EdgeEffect = ReadSource | FetchView | SendReport | LogEvent | StopProcess
+EdgeEffect = (
+    ReadSource | FetchView | SendReport | LogEvent | AcceptPackets | StopProcess
+)
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -16,6 +16,10 @@
 #: Callers give up on an opening packet after this time.
 OPENING_LIFETIME_SECONDS: Final = 1.4
 
+#: Packets that have waited longer for the first view of a balancer are
+#: discarded: with the start before it, callers have given up their openings.
+MAX_QUEUED_SECONDS: Final = 1.0
+
 
 @dataclass(slots=True)
 class Edge:
@@ -65,6 +69,8 @@
     needs_whole_view : bool
         Whether the next fetch asks for a whole view, since the changes that
         a peer sent did not lead to its view.
+    has_accepted_packets : bool
+        Whether it has started to read the packets of callers.
     has_been_ready : bool
         Whether it has ever been ready.
     suspected_cookies : frozenset of int
@@ -90,6 +96,7 @@
     fetch_failures: int = 0
     fetch_retry_at: float = 0
     needs_whole_view: bool = False
+    has_accepted_packets: bool = False
     has_been_ready: bool = False
     suspected_cookies: frozenset[int] = frozenset()
 
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -1,6 +1,11 @@
 """Tests of updates from views of the store and of peers."""
 
-from balsamshed.edge.effects import FetchView, LogEvent, ReadSource
+from balsamshed.edge.effects import (
+    AcceptPackets,
+    FetchView,
+    LogEvent,
+    ReadSource,
+)
 from balsamshed.edge.lifecycle import handle_tick
 from balsamshed.edge.state import accepts_traffic
 from balsamshed.edge.tests.builders import (
@@ -261,3 +266,42 @@
     assert ReadSource(Source.ROUTES, may_be_stale=True) in effects
     handle_routes(edge, build_table(1), 0)
     assert accepts_traffic(edge)
+
+
+def list_accepts(effects):
+    return [
+        effect.discards_queued
+        for effect in effects
+        if isinstance(effect, AcceptPackets)
+    ]
+
+
+def test_packets_are_read_once_routes_and_endpoints_are_known():
+    """Guards against packets that are dropped because they arrived during the
+    start; their callers would wait for the next copy."""
+    edge = build_edge()
+    start_read(edge.reads, 0)
+    endpoints = build_view(1, build_endpoint(1))
+    assert list_accepts(handle_endpoints(edge, endpoints, 0.1)) == []
+    assert list_accepts(handle_routes(edge, build_table(1), 0.1)) == [False]
+    later = build_view(2, build_endpoint(1), build_endpoint(2))
+    start_read(edge.reads, 1)
+    assert list_accepts(handle_endpoints(edge, later, 1)) == []
+
+
+def test_packets_are_read_although_no_endpoint_is_left():
+    """Guards against callers that wait instead of being refused at once."""
+    edge = build_edge()
+    start_read(edge.reads, 0)
+    handle_endpoints(edge, build_view(1), 0.1)
+    assert list_accepts(handle_routes(edge, build_table(1), 0.1)) == [False]
+    assert not accepts_traffic(edge)
+
+
+def test_packets_that_waited_long_are_discarded():
+    """Guards against flows opened for callers that have given up."""
+    edge = build_edge()
+    handle_read_failed(edge, Source.ENDPOINTS, 'timed_out', 0.7)
+    start_read(edge.reads, 2)
+    handle_endpoints(edge, build_view(1, build_endpoint(1)), 2)
+    assert list_accepts(handle_routes(edge, build_table(1), 2)) == [True]
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -4,12 +4,13 @@
 from typing import Final
 
 from balsamshed.edge.effects import (
+    AcceptPackets,
     EdgeEffect,
     FetchView,
     LogEvent,
     ReadSource,
 )
-from balsamshed.edge.state import Edge, detect_pause
+from balsamshed.edge.state import MAX_QUEUED_SECONDS, Edge, detect_pause
 from balsamshed.endpoints.directory import (
     ChangeKind,
     EndpointChange,
@@ -27,7 +28,12 @@
 from balsamshed.peers.view import StoreView
 from balsamshed.placement.in_flight import forget_endpoint
 from balsamshed.routes.table import RouteTable
-from balsamshed.steering.decisions import Steering, is_ready, replace_routes
+from balsamshed.steering.decisions import (
+    Steering,
+    has_view,
+    is_ready,
+    replace_routes,
+)
 from balsamshed.store.polling import (
     Source,
     apply_peer_revision,
@@ -303,6 +309,15 @@
 
 
 def _update_readiness(edge: Edge, now: float) -> list[EdgeEffect]:
+    effects = _log_readiness(edge, now)
+    if has_view(edge.steering) and not edge.has_accepted_packets:
+        edge.has_accepted_packets = True
+        waited_seconds = now - edge.started_at
+        effects.append(AcceptPackets(waited_seconds > MAX_QUEUED_SECONDS))
+    return effects
+
+
+def _log_readiness(edge: Edge, now: float) -> list[EdgeEffect]:
     if edge.has_been_ready or not is_ready(edge.steering):
         return []
     edge.has_been_ready = True
--- a/balsamshed/front_ends/datagram_socket.py
+++ b/balsamshed/front_ends/datagram_socket.py
@@ -20,13 +20,22 @@
 DatagramHandler = Callable[[bytes, tuple[str, int]], None]
 
 
+def bind_datagram_socket(address: SocketAddress) -> socket.socket:
+    """Return a UDP socket that does not block, bound to an address."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    bound.bind((address.host, address.port))
+    return bound
+
+
 class DatagramSocket:
     """UDP socket that is registered with an event loop.
 
     Parameters
     ----------
-    address : SocketAddress
-        Address to bind.
+    bound : socket
+        Socket from `bind_datagram_socket`.
     handle_datagram : callable
         Called with each datagram.
     count : callable
@@ -35,26 +44,31 @@
 
     def __init__(
         self,
-        address: SocketAddress,
+        bound: socket.socket,
         handle_datagram: DatagramHandler,
         count: Callable[[str], None],
     ) -> None:
-        """Bind the socket."""
+        """Take over the socket, without reading it."""
         self._handle_datagram = handle_datagram
         self._count = count
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_RCVBUF,
-            RECEIVE_BUFFER_BYTES,
-        )
-        self._socket.bind((address.host, address.port))
+        self._socket = bound
 
     def watch(self, loop: EventLoop) -> None:
         """Read datagrams whenever the socket is readable."""
         loop.add_reader(self._socket, self.receive_pending)
 
+    def discard_pending(self) -> None:
+        """Read and discard all datagrams that have been received."""
+        while True:
+            try:
+                self._socket.recv(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._count(f'receive_{error.errno}')
+                return
+            self._count('discarded')
+
     def close(self) -> None:
         """Close the socket."""
         self._socket.close()
--- a/balsamshed/front_ends/edge_packets.py
+++ b/balsamshed/front_ends/edge_packets.py
@@ -1,8 +1,10 @@
 """Packet socket of an edge balancer."""
 
 from collections.abc import Mapping
+from socket import socket as Socket
 from typing import Final
 
+from balsamshed.edge.effects import AcceptPackets
 from balsamshed.edge.explanations import explain_opening, explain_refusal
 from balsamshed.edge.packets import handle_packet
 from balsamshed.front_ends.datagram_socket import DatagramSocket
@@ -24,8 +26,17 @@
 PACKETS_PER_MEASUREMENT: Final = 32
 
 
-def open_packet_socket(process: EdgeProcess) -> None:
-    """Receive callers' packets from the platform's routers."""
+def open_packet_socket(process: EdgeProcess, bound: Socket) -> None:
+    """Receive callers' packets from the platform's routers.
+
+    Parameters
+    ----------
+    process : EdgeProcess
+        Process of the balancer.
+    bound : socket
+        Socket that the routers send to. It is read once the balancer has a
+        view; packets wait in it until then.
+    """
     edge, wire, counts = process.edge, process.wire, process.counts
     caller_port = process.settings.packets.port
 
@@ -58,8 +69,13 @@
     def count(name: str) -> None:
         counts[name] += 1
 
-    port = DatagramSocket(process.settings.packets, handle_datagram, count)
-    port.watch(process.loop)
+    def accept_packets(effect: AcceptPackets) -> None:
+        if effect.discards_queued:
+            port.discard_pending()
+        port.watch(process.loop)
+
+    port = DatagramSocket(bound, handle_datagram, count)
+    process.effect_handlers[AcceptPackets] = accept_packets
 
 
 def _log_opening(
--- a/balsamshed/front_ends/edge_peers.py
+++ b/balsamshed/front_ends/edge_peers.py
@@ -17,7 +17,10 @@
     handle_read_failed,
     handle_report,
 )
-from balsamshed.front_ends.datagram_socket import DatagramSocket
+from balsamshed.front_ends.datagram_socket import (
+    DatagramSocket,
+    bind_datagram_socket,
+)
 from balsamshed.front_ends.edge_context import (
     EdgeProcess,
     execute_effects,
@@ -83,7 +86,8 @@
         return ServerResponse(_OK, body, 'application/json')
 
     address = SocketAddress(process.settings.packets.host, peer_port)
-    port = DatagramSocket(address, handle_datagram, count)
+    bound = bind_datagram_socket(address)
+    port = DatagramSocket(bound, handle_datagram, count)
     port.watch(process.loop)
     start_http_server(process, address, handle_request)
     process.effect_handlers[SendReport] = send_report
--- a/balsamshed/front_ends/edge_process.py
+++ b/balsamshed/front_ends/edge_process.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Callable
 from functools import partial
+from socket import socket as Socket
 from typing import Final
 
 from balsamshed.edge.effects import (
@@ -52,6 +53,7 @@
     wire: WireFormat,
     loop: EventLoop,
     read_change: Callable[[], str | None],
+    packet_socket: Socket,
 ) -> None:
     """Run an edge balancer until SIGTERM or SIGINT has been handled.
 
@@ -65,10 +67,12 @@
         Event loop, not running yet.
     read_change : callable
         Returns the text of the settings file if it has changed, else None.
+    packet_socket : socket
+        Bound socket that the platform's routers send packets to.
     """
     process = _create_process(settings, wire, loop)
     write = create_stream_writer(sys.stdout.fileno())
-    open_packet_socket(process)
+    open_packet_socket(process, packet_socket)
     if settings.peer_ports:
         open_peer_port(process)
     start_http_server(
--- a/balsamshed/platform/program.py
+++ b/balsamshed/platform/program.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from balsamshed.findings import format_findings
+from balsamshed.front_ends.datagram_socket import bind_datagram_socket
 from balsamshed.front_ends.event_loop import open_loop
 from balsamshed.settings.edge import EdgeSettings, parse_edge_settings
 from balsamshed.settings.watching import create_change_reader
@@ -40,6 +41,8 @@
     if not isinstance(settings, EdgeSettings):
         sys.stderr.write(f'{format_findings(path, settings)}\n')
         return _EXIT_BAD_INPUT
+    # Packets that arrive during the rest of the start wait in the socket.
+    packet_socket = bind_datagram_socket(settings.packets)
     with open_loop() as loop:
         # Imported late, so that invalid settings are reported without loading
         # the rest of the process.
@@ -48,5 +51,6 @@
 
         gc.freeze()
         gc.enable()
-        run_edge(settings, create_wire_format(), loop, read_change)
+        wire = create_wire_format()
+        run_edge(settings, wire, loop, read_change, packet_socket)
     return 0
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -128,13 +128,14 @@
     )
 
 
+def has_view(steering: Steering) -> bool:
+    """Return whether routes are in force and endpoints were listed."""
+    return steering.routes.version >= 0 and steering.directory.revision >= 0
+
+
 def is_ready(steering: Steering) -> bool:
     """Return whether routes are in force and an endpoint takes new flows."""
-    return (
-        steering.routes.version >= 0
-        and steering.directory.revision >= 0
-        and bool(steering.directory.available_by_service)
-    )
+    return has_view(steering) and bool(steering.directory.available_by_service)
 
 
 def steer_packet(
