Send the idempotent routes beside the rows of a view

Cause: the new field made the rows of routes longer, and balancers of older builds reject rows of another length. During a rolling upgrade they would have had to read each new configuration from the store.

Change: positions of idempotent routes stand in a list of their own, which older builds skip; without it no route is idempotent.

Before: test_rows_of_routes_have_the_fields_of_older_builds fails (6 fields). After: it passes.

--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -1,5 +1,6 @@
 """Tests of the codecs between edge balancers."""
 
+import json
 from dataclasses import replace
 
 import pytest
@@ -13,6 +14,7 @@
 )
 from balsamshed.codecs.views import decode_view, encode_view
 from balsamshed.edge.tests.builders import (
+    PORT,
     build_endpoint,
     build_table,
     build_view,
@@ -24,6 +26,7 @@
     calculate_wire_size,
 )
 from balsamshed.peers.view import StoreView
+from balsamshed.routes.table import create_route_table
 
 HOSTS = st.tuples(*[st.integers(0, 255)] * 4).map(
     lambda octets: '.'.join(map(str, octets))
@@ -119,3 +122,26 @@
 def test_malformed_document_is_rejected(body):
     """Guards against a response whose decoding error stops the process."""
     assert decode_view(body) is None
+
+
+def test_idempotent_routes_survive_the_round_trip():
+    """Guards against flows that are reset, or never are, on balancers that got
+    the routes from a peer."""
+    table = build_table(4, p443='web', p80='files')
+    routes = [
+        replace(route, is_idempotent=route.port == PORT)
+        for route in table.routes.values()
+    ]
+    mixed = create_route_table(4, routes, table.services)
+    view = StoreView(build_view(9, build_endpoint(1)), mixed)
+    assert decode_view(encode_view(view)) == view
+
+
+def test_rows_of_routes_have_the_fields_of_older_builds():
+    """Guards against a rolling upgrade in which older balancers cannot read
+    the routes of newer ones, or newer ones those of older ones."""
+    view = StoreView(build_view(9, build_endpoint(1)), build_table(4))
+    document = json.loads(encode_view(view))
+    assert [len(row) for row in document['routes']['routes']] == [5]
+    del document['routes']['idempotent']
+    assert decode_view(json.dumps(document).encode()) == view
--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -101,10 +101,15 @@
                 route.port,
                 [[share.service, share.weight] for share in route.shares],
                 route.timeout_seconds,
-                route.is_idempotent,
             ]
             for route in routes.routes.values()
         ],
+        # Not in the rows, whose length balancers of older builds check.
+        'idempotent': [
+            position
+            for position, route in enumerate(routes.routes.values())
+            if route.is_idempotent
+        ],
     }
 
 
@@ -131,6 +136,8 @@
 
 
 def _decode_routes(document: Any) -> RouteTable:
+    # Absent from balancers of older builds.
+    idempotent = set(document.get('idempotent', ()))
     return create_route_table(
         document['version'],
         [
@@ -140,11 +147,10 @@
                 port,
                 tuple(ServiceShare(*share) for share in shares),
                 timeout,
-                # Balancers of older builds do not send the last field.
-                *is_idempotent,
+                position in idempotent,
             )
-            for name, address, port, shares, timeout, *is_idempotent in (
-                document['routes']
+            for position, (name, address, port, shares, timeout) in enumerate(
+                document['routes'],
             )
         ],
         document['services'],
--- a/balsamshed/placement/in_flight.py
+++ b/balsamshed/placement/in_flight.py
@@ -66,7 +66,7 @@
     suspecting_peers : mapping of int to int
         Number of peers that suspect an endpoint, by cookie.
     suspicions : dict of int to Suspicion
-        Suspicions by cookie, for endpoints with unanswered openings.
+        Suspicions by cookie, for endpoints with unanswered packets.
     warm_until : dict of int to float
         Monotonic time at which the warm-up of an endpoint ends, by cookie.
     """
