Show a change of the members in the metrics at once

Callers repeat a SYN after 1, 3 and 7 s, so feeds whose first three SYNs were lost waited over 5 s.

Ruled out: detection itself, at most 2.5 s by the protocol's periods.

Change: gauges are set in the tick after a change of the members.

--- a/balsamshed/front_ends/process.py
+++ b/balsamshed/front_ends/process.py
@@ -252,15 +252,19 @@
 ) -> Callable[[], None]:
     due_at = time.monotonic()
     ticks = 0
+    shown_view_version = -1
 
     def tick() -> None:
-        nonlocal due_at, ticks
+        nonlocal due_at, ticks, shown_view_version
         now = time.monotonic()
         delay = max(now - due_at, 0)
         due_at = now + TICK_SECONDS
         sink(Ticked(time.time(), delay))
         ticks += 1
-        if ticks % TICKS_PER_GAUGE_UPDATE == 0:
+        # Operators and the fabric act on a change of the members at once.
+        has_new_members = node.view_version != shown_view_version
+        if has_new_members or ticks % TICKS_PER_GAUGE_UPDATE == 0:
+            shown_view_version = node.view_version
             _set_gauges(node, metrics.set_gauge, delay)
 
     return tick
