--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -170,10 +170,10 @@
     if endpoint is None:
         return _UNKNOWN_COOKIE
     _track_request(steering, packet, now)
-    is_unresponsive = packet.kind is PacketKind.DATA and _is_unresponsive(
+    has_stopped = packet.kind is PacketKind.DATA and _review_endpoint(
         steering, packet, endpoint, now
     )
-    if is_unresponsive and route.is_idempotent:
+    if has_stopped and route.is_idempotent:
         end_request(steering.requests, packet.flow_key)
         return _ENDPOINT_UNRESPONSIVE
     return ForwardFlow(endpoint, packet.cookie)
@@ -289,12 +289,13 @@
     return None
 
 
-def _is_unresponsive(
+def _review_endpoint(
     steering: Steering,
     packet: FlowPacket,
     endpoint: Endpoint,
     now: float,
 ) -> bool:
+    """Suspect the endpoint of a repeated request; tell if it has stopped."""
     flow_key = packet.flow_key
     request = find_unanswered_request(steering.requests, flow_key)
     if request is None:
