Contain errors while a peer's view is applied

Cause: found in review. A view with an infinite revision raised an OverflowError, which the codec did not expect; the fetch in progress never ended, and the balancer fetched no view again.

Change: the codec rejects it, and any other error ends the fetch, is logged as internal_error and retried, as for reads of the store.

Before: one case of test_malformed_document_is_rejected and test_error_while_a_peer_view_is_applied_does_not_end_the_fetches fail. After: they pass.

--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -117,7 +117,18 @@
 
 
 @pytest.mark.parametrize(
-    'body', [b'', b'[]', b'{}', b'{"version":1}', b'\xff', b'3']
+    'body',
+    [
+        b'',
+        b'[]',
+        b'{}',
+        b'{"version":1}',
+        b'\xff',
+        b'3',
+        b'{"revision":Infinity,"newest":1,"endpoints":[]}',
+        b'{"revision":1,"newest":1,"endpoints":[["i",1]]}',
+        b'[' * 100_000,
+    ],
 )
 def test_malformed_document_is_rejected(body):
     """Guards against a response whose decoding error stops the process."""
--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -24,6 +24,7 @@
     TypeError,
     KeyError,
     AttributeError,
+    OverflowError,
     RecursionError,
 )
 #: Types of an endpoint's row. The remaining warm-up time, its last field but
--- a/balsamshed/front_ends/edge_peers.py
+++ b/balsamshed/front_ends/edge_peers.py
@@ -26,6 +26,7 @@
     execute_effects,
     read_clock,
     record_duration,
+    report_error,
     start_http_server,
 )
 from balsamshed.front_ends.http_server import ServerResponse
@@ -110,7 +111,15 @@
     def handle_response(outcome: HttpResponse | HttpFailure) -> None:
         session.close()
         record_duration(process, 'peer_view', read_clock() - started_at)
-        execute_effects(process, _handle_view_outcome(process.edge, outcome))
+        try:
+            effects = _handle_view_outcome(process.edge, outcome)
+        except Exception as error:
+            # A fetch that never ends would be the last one of this process.
+            report_error(process, error)
+            effects = handle_read_failed(
+                process.edge, Source.PEER_VIEW, 'internal_error', read_clock()
+            )
+        execute_effects(process, effects)
 
     target = f'{VIEW_PATH}/{effect.revision}/{effect.version}'
     session.get(target, FETCH_TIMEOUT_SECONDS, handle_response)
--- a/balsamshed/front_ends/tests/test_edge_errors.py
+++ b/balsamshed/front_ends/tests/test_edge_errors.py
@@ -4,9 +4,10 @@
 
 import pytest
 
-from balsamshed.edge.effects import LogEvent, ReadSource
+from balsamshed.edge.effects import FetchView, LogEvent, ReadSource
 from balsamshed.edge.tests.builders import build_edge, build_endpoint
 from balsamshed.endpoints.directory import EndpointView
+from balsamshed.front_ends import edge_peers
 from balsamshed.front_ends.edge_context import (
     EdgeProcess,
     log_event_effect,
@@ -29,6 +30,9 @@
         """Answer a request."""
         handle_outcome(HttpResponse(200, b''))
 
+    def close(self):
+        """Close the connection."""
+
 
 def raise_error(*_arguments):
     """Fail, as a fault of this program would."""
@@ -80,6 +84,20 @@
     assert b'KeyError' in line
 
 
+def test_error_while_a_peer_view_is_applied_does_not_end_the_fetches(
+    monkeypatch,
+):
+    """Guards against a balancer that never fetches a newer view again."""
+    monkeypatch.setattr(edge_peers, 'decode_view', raise_error)
+    process = build_process()
+    process.edge.fetch_started_at = 0
+    effect = FetchView('10.9.0.2', 1, 1)
+    edge_peers._fetch_view(process, AnsweringSession(), effect)
+    assert process.edge.fetch_started_at is None
+    assert process.counts['internal_error'] == 1
+    assert process.counts['peer_view_failed'] == 1
+
+
 def test_error_in_a_periodic_call_does_not_end_the_series():
     """Guards against a balancer without ticks: no reads, no reports, no logs."""
     process = build_process()
