Discard waiting packets each second until the first view

Cause: found in review. Where the first view took over a second, the whole queue was discarded when it came, also packets that had just arrived and could have been served.

Change: until a balancer has its first view, a tick discards what has waited once a second, so the queue that is read then holds recent packets only. A connection's socket is registered for writing only while bytes wait.

The test that expected the whole queue to be discarded is replaced by two that check each second of the wait and that nothing is discarded afterwards. Before: test_packets_wait_for_the_first_view_no_longer_than_a_second cannot hold, since ticks discarded nothing.

--- a/balsamshed/edge/effects.py
+++ b/balsamshed/edge/effects.py
@@ -75,16 +75,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AcceptPackets:
-    """Effect: start to read the packets of callers.
+class DiscardPackets:
+    """Effect: discard the packets of callers that have arrived so far."""
 
-    Parameters
-    ----------
-    discards_queued : bool
-        Whether packets that have arrived so far are discarded.
-    """
 
-    discards_queued: bool
+@dataclass(frozen=True, slots=True)
+class AcceptPackets:
+    """Effect: start to read the packets of callers."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,5 +90,11 @@
 
 
 EdgeEffect = (
-    ReadSource | FetchView | SendReport | LogEvent | AcceptPackets | StopProcess
+    ReadSource
+    | FetchView
+    | SendReport
+    | LogEvent
+    | DiscardPackets
+    | AcceptPackets
+    | StopProcess
 )
--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -3,13 +3,14 @@
 from typing import Final
 
 from balsamshed.edge.effects import (
+    DiscardPackets,
     EdgeEffect,
     LogEvent,
     ReadSource,
     SendReport,
     StopProcess,
 )
-from balsamshed.edge.state import Edge, detect_pause
+from balsamshed.edge.state import MAX_QUEUED_SECONDS, Edge, detect_pause
 from balsamshed.edge.views import apply_endpoint_changes
 from balsamshed.endpoints.directory import (
     expire_missing,
@@ -57,6 +58,7 @@
         extend_missing_retention(edge.steering.directory, pause)
         effects.append(LogEvent('paused', {'seconds': round(pause, 3)}))
     edge.last_tick_at = now
+    effects.extend(_discard_old_packets(edge, now))
     steering = edge.steering
     for flow_key, request in expire_requests(steering.requests, now):
         effects.append(_describe_unanswered(flow_key, request, now))
@@ -109,6 +111,15 @@
     )
 
 
+def _discard_old_packets(edge: Edge, now: float) -> list[EdgeEffect]:
+    """Discard packets that have waited long for the first view."""
+    waited_seconds = now - edge.packets_discarded_at
+    if edge.has_accepted_packets or waited_seconds < MAX_QUEUED_SECONDS:
+        return []
+    edge.packets_discarded_at = now
+    return [DiscardPackets()]
+
+
 def _list_suspected_cookies(
     tracker: EndpointLoadTracker, now: float
 ) -> frozenset[int]:
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -15,9 +15,8 @@
 STALE_REPORTS_SECONDS: Final = 0.3
 #: Callers give up on an opening packet after this time.
 OPENING_LIFETIME_SECONDS: Final = 1.4
-
-#: Packets that have waited longer for the first view of a balancer are
-#: discarded: with the start before it, callers have given up their openings.
+#: Packets wait for the first view of a balancer no longer than this, so that
+#: their callers have not given up when they are read.
 MAX_QUEUED_SECONDS: Final = 1.0
 
 
@@ -69,6 +68,9 @@
     needs_whole_view : bool
         Whether the next fetch asks for a whole view, since the changes that
         a peer sent did not lead to its view.
+    packets_discarded_at : float
+        Time at which waiting packets were last discarded; that of the start
+        before.
     has_accepted_packets : bool
         Whether it has started to read the packets of callers.
     has_been_ready : bool
@@ -96,6 +98,7 @@
     fetch_failures: int = 0
     fetch_retry_at: float = 0
     needs_whole_view: bool = False
+    packets_discarded_at: float = 0
     has_accepted_packets: bool = False
     has_been_ready: bool = False
     suspected_cookies: frozenset[int] = frozenset()
@@ -128,6 +131,7 @@
         is_seed,
         started_at=now,
         last_tick_at=now,
+        packets_discarded_at=now,
     )
 
 
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -2,6 +2,7 @@
 
 from balsamshed.edge.effects import (
     AcceptPackets,
+    DiscardPackets,
     FetchView,
     LogEvent,
     ReadSource,
@@ -268,12 +269,8 @@
     assert accepts_traffic(edge)
 
 
-def list_accepts(effects):
-    return [
-        effect.discards_queued
-        for effect in effects
-        if isinstance(effect, AcceptPackets)
-    ]
+def count_accepts(effects):
+    return sum(isinstance(effect, AcceptPackets) for effect in effects)
 
 
 def test_packets_are_read_once_routes_and_endpoints_are_known():
@@ -282,11 +279,11 @@
     edge = build_edge()
     start_read(edge.reads, 0)
     endpoints = build_view(1, build_endpoint(1))
-    assert list_accepts(handle_endpoints(edge, endpoints, 0.1)) == []
-    assert list_accepts(handle_routes(edge, build_table(1), 0.1)) == [False]
+    assert count_accepts(handle_endpoints(edge, endpoints, 0.1)) == 0
+    assert count_accepts(handle_routes(edge, build_table(1), 0.1)) == 1
     later = build_view(2, build_endpoint(1), build_endpoint(2))
     start_read(edge.reads, 1)
-    assert list_accepts(handle_endpoints(edge, later, 1)) == []
+    assert count_accepts(handle_endpoints(edge, later, 1)) == 0
 
 
 def test_packets_are_read_although_no_endpoint_is_left():
@@ -294,14 +291,26 @@
     edge = build_edge()
     start_read(edge.reads, 0)
     handle_endpoints(edge, build_view(1), 0.1)
-    assert list_accepts(handle_routes(edge, build_table(1), 0.1)) == [False]
+    assert count_accepts(handle_routes(edge, build_table(1), 0.1)) == 1
     assert not accepts_traffic(edge)
 
 
-def test_packets_that_waited_long_are_discarded():
-    """Guards against flows opened for callers that have given up."""
+def list_discards(edge, until):
+    """Return the ticks at which waiting packets are discarded."""
+    ticks = [tick / 10 for tick in range(int(until * 10) + 1)]
+    return [now for now in ticks if DiscardPackets() in handle_tick(edge, now)]
+
+
+def test_packets_wait_for_the_first_view_no_longer_than_a_second():
+    """Guards against flows opened for callers that have given up, and against
+    new packets that are discarded together with old ones."""
+    assert list_discards(build_edge(), until=3.5) == [1, 2, 3]
+
+
+def test_packets_are_not_discarded_after_the_first_view():
+    """Guards against openings lost on a running balancer."""
     edge = build_edge()
-    handle_read_failed(edge, Source.ENDPOINTS, 'timed_out', 0.7)
-    start_read(edge.reads, 2)
-    handle_endpoints(edge, build_view(1, build_endpoint(1)), 2)
-    assert list_accepts(handle_routes(edge, build_table(1), 2)) == [True]
+    start_read(edge.reads, 0)
+    handle_endpoints(edge, build_view(1, build_endpoint(1)), 0)
+    handle_routes(edge, build_table(1), 0)
+    assert list_discards(edge, until=3.5) == []
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -10,7 +10,7 @@
     LogEvent,
     ReadSource,
 )
-from balsamshed.edge.state import MAX_QUEUED_SECONDS, Edge, detect_pause
+from balsamshed.edge.state import Edge, detect_pause
 from balsamshed.endpoints.directory import (
     ChangeKind,
     EndpointChange,
@@ -312,8 +312,7 @@
     effects = _log_readiness(edge, now)
     if has_view(edge.steering) and not edge.has_accepted_packets:
         edge.has_accepted_packets = True
-        waited_seconds = now - edge.started_at
-        effects.append(AcceptPackets(waited_seconds > MAX_QUEUED_SECONDS))
+        effects.append(AcceptPackets())
     return effects
 
 
--- a/balsamshed/front_ends/edge_packets.py
+++ b/balsamshed/front_ends/edge_packets.py
@@ -4,7 +4,7 @@
 from socket import socket as Socket
 from typing import Final
 
-from balsamshed.edge.effects import AcceptPackets
+from balsamshed.edge.effects import AcceptPackets, DiscardPackets
 from balsamshed.edge.explanations import explain_opening, explain_refusal
 from balsamshed.edge.packets import handle_packet
 from balsamshed.front_ends.datagram_socket import DatagramSocket
@@ -69,13 +69,13 @@
     def count(name: str) -> None:
         counts[name] += 1
 
-    def accept_packets(effect: AcceptPackets) -> None:
-        if effect.discards_queued:
-            port.discard_pending()
-        port.watch(process.loop)
-
     port = DatagramSocket(bound, handle_datagram, count)
-    process.effect_handlers[AcceptPackets] = accept_packets
+    process.effect_handlers.update(
+        {
+            DiscardPackets: lambda _effect: port.discard_pending(),
+            AcceptPackets: lambda _effect: port.watch(process.loop),
+        },
+    )
 
 
 def _log_opening(
--- a/balsamshed/front_ends/streams.py
+++ b/balsamshed/front_ends/streams.py
@@ -56,7 +56,14 @@
         Receives the bytes of the other end.
     """
 
-    __slots__ = ('_handler', '_is_closing', '_loop', '_pending', '_socket')
+    __slots__ = (
+        '_handler',
+        '_is_closing',
+        '_is_writer',
+        '_loop',
+        '_pending',
+        '_socket',
+    )
 
     def __init__(
         self, loop: EventLoop, connected: socket.socket, handler: StreamHandler
@@ -67,6 +74,7 @@
         self._handler = handler
         self._pending = b''
         self._is_closing = False
+        self._is_writer = False
         connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         loop.add_reader(connected, self._receive)
         handler.connection_made(self)
@@ -121,10 +129,17 @@
             self._lose_connection()
             return
         self._pending = self._pending[sent:]
-        if self._pending:
-            self._loop.add_writer(self._socket, self._send_pending)
-        elif self._is_closing:
+        if self._is_closing and not self._pending:
             self.abort()
+        else:
+            self._watch_writable(bool(self._pending))
+
+    def _watch_writable(self, is_writer: bool) -> None:
+        if is_writer == self._is_writer:
+            return
+        self._is_writer = is_writer
+        if is_writer:
+            self._loop.add_writer(self._socket, self._send_pending)
         else:
             self._loop.remove_writer(self._socket)
 
