Test copies that arrive together and lists that do not end

Found by undoing single conditions: no test failed without the interval between two copies of a request, nor without the limit on the pages of a list.

--- a/balsamshed/front_ends/tests/test_edge_errors.py
+++ b/balsamshed/front_ends/tests/test_edge_errors.py
@@ -124,3 +124,18 @@
     assert start_read(process.edge.reads, 0) is Source.ENDPOINTS
     read_store(process, ReadSource(Source.ENDPOINTS))
     assert process.edge.reads.started_at is None
+
+
+def test_list_that_does_not_end_changes_nothing(monkeypatch):
+    """Guards against endpoints that count as gone, since a list was cut off
+    at the limit of its pages."""
+    monkeypatch.setattr('balsamshed.front_ends.source_reader.MAX_PAGES', 3)
+    process = build_process(
+        store_format=StoreFormat(
+            lambda effect, after: '/', lambda body: ListPage((), 1, 'next')
+        ),
+    )
+    start_read(process.edge.reads, 0)
+    read_store(process, ReadSource(Source.ENDPOINTS))
+    assert process.counts['store_reads_failed'] == 1
+    assert process.edge.history.revision < 0
--- a/balsamshed/steering/tests/test_unresponsive.py
+++ b/balsamshed/steering/tests/test_unresponsive.py
@@ -187,6 +187,7 @@
         (10.0, 12.0),
         (10.0, 10.2, 10.25),
         (10.0, 13.9, 13.9),
+        (10.0, 10.59, 10.6),
     ],
 )
 def test_copies_that_were_queued_count_once(times):
