Report a joining balancer as not ready

Ruled out: a refusal (no such counter rose), a full buffer.

Change: /readyz answers 503 while the balancer joins; test beds that apply objects wait for 200 before they send packets.

--- a/balsamshed/front_ends/process.py
+++ b/balsamshed/front_ends/process.py
@@ -53,6 +53,7 @@
     StopProcess,
 )
 from balsamshed.node.events import Event, LeaveRequested, Ticked
+from balsamshed.node.ownership import is_joining
 from balsamshed.node.state import Node, create_node
 from balsamshed.settings.balancer import BalancerSettings
 
@@ -174,7 +175,9 @@
         create_packet_handlers(data_port, fabric, find_data_address, count),
     )
     effect_handlers.update(create_peer_handlers(control_port, node))
-    site = create_metrics_site(metrics, lambda: _is_ready(node))
+    site = create_metrics_site(
+        metrics, lambda: _is_ready(node, time.monotonic())
+    )
     listening = [
         reactor.listenUDP(
             settings.data_port,
@@ -210,8 +213,12 @@
     )
 
 
-def _is_ready(node: Node) -> bool:
-    return bool(node.catalog.records) and not node.is_leaving
+def _is_ready(node: Node, now: float) -> bool:
+    """Tell whether the fabric should send packets to this balancer."""
+    if node.is_leaving or is_joining(node, now):
+        # A joining balancer drops openings; their callers repeat them later.
+        return False
+    return bool(node.catalog.records)
 
 
 def _create_process_handlers(
--- a/testbed/demo.py
+++ b/testbed/demo.py
@@ -28,7 +28,7 @@
     run_operator_command,
     start_balancer,
     start_servers,
-    wait_until_ready,
+    wait_until_serving,
 )
 from testbed.processes import (
     RunningProcess,
@@ -95,7 +95,7 @@
     for plan in (CRENEAU, REGISTRE):
         objects.extend(build_service_objects(plan, start_servers(fleet, plan)))
     apply_objects(fleet, objects)
-    wait_until_ready(fleet)
+    wait_until_serving(fleet)
     write_line(
         f'{len(BALANCERS)} balancers ready, {len(objects)} objects applied'
     )
--- a/testbed/fleet.py
+++ b/testbed/fleet.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from subprocess import run
 from tempfile import TemporaryDirectory
@@ -15,6 +16,7 @@
 from testbed.ports import reserve_ports
 from testbed.processes import (
     RunningProcess,
+    is_url_found,
     run_module,
     wait_for_http,
     wait_for_port,
@@ -497,6 +499,22 @@
     wait_until(has_all_members, f'{count} members', _READY_TIMEOUT_SECONDS)
 
 
+def wait_until_serving(fleet: Fleet) -> None:
+    """Wait until every balancer has all others and takes new flows.
+
+    Objects must have been applied. A balancer drops openings for a moment
+    after it has met its group, and is not ready then.
+    """
+    wait_until_ready(fleet)
+    for balancer in fleet.balancers.values():
+        url = f'http://127.0.0.1:{balancer.metrics_port}/readyz'
+        wait_until(
+            partial(is_url_found, url),
+            f'{balancer.name} takes new flows',
+            _READY_TIMEOUT_SECONDS,
+        )
+
+
 def read_metric(balancer: Balancer, name: str) -> float:
     """Read a metric without labels.
 
--- a/testbed/measure_packets.py
+++ b/testbed/measure_packets.py
@@ -29,7 +29,7 @@
     read_metric,
     run_fleet,
     start_balancer,
-    wait_until_ready,
+    wait_until_serving,
 )
 from testbed.packets import Segment, build_packet
 from testbed.ports import reserve_ports
@@ -259,7 +259,7 @@
         for name in names:
             start_balancer(fleet, name, 'qc-1', fabric=fabric_address)
         apply_objects(fleet, _build_objects())
-        wait_until_ready(fleet)
+        wait_until_serving(fleet)
         for balancer in fleet.balancers.values():
             _wait_for_records(balancer)
         try:
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -219,6 +219,16 @@
     wait_until(lambda: _answers_http(url), f'{url} answers', seconds)
 
 
+def is_url_found(url: str) -> bool:
+    """Tell whether a URL on the loopback interface answers with success."""
+    try:
+        urlopen(url, timeout=1).close()  # noqa: S310
+    except OSError:
+        # An answer with an error status, or none.
+        return False
+    return True
+
+
 def wait_for_exit(process: RunningProcess, seconds: float) -> int:
     """Wait until a process exits by itself.
 
--- a/testbed/trials.py
+++ b/testbed/trials.py
@@ -31,7 +31,7 @@
     start_balancer,
     start_servers,
     update_fabric,
-    wait_until_ready,
+    wait_until_serving,
 )
 from testbed.ports import reserve_ports
 from testbed.processes import (
@@ -192,7 +192,7 @@
         callers_port = _start_callers(fleet, proxy_port)
         wait_until_joined(fleet)
         apply_objects(fleet, objects)
-        wait_until_ready(fleet)
+        wait_until_serving(fleet)
         trial = Trial(fleet, callers_port, proxy_port)
         try:
             yield trial
