--- a/balsamshed/limits/tests/test_load_invariants.py
+++ b/balsamshed/limits/tests/test_load_invariants.py
@@ -22,10 +22,10 @@
 )
 from balsamshed.limits.retries import RetryBudget, record_success, take_retry
 from balsamshed.limits.verdicts import ADMITTED
+from balsamshed.placement.ejection import get_ejection_bound
 from balsamshed.placement.load_tracker import (
     HostLoadTracker,
     count_ejected,
-    get_ejection_bound,
     record_accepted,
     record_closed,
     record_opened,
--- a/balsamshed/placement/load_tracker.py
+++ b/balsamshed/placement/load_tracker.py
@@ -1,6 +1,7 @@
 """Load and health of all backend servers, as tracked by one balancer.
 
-Failing hosts are ejected (outlier ejection) and readmitted by trial flows.
+Failing hosts are ejected (outlier ejection) and readmitted by trial flows; see
+`balsamshed.placement.ejection`.
 """
 
 from dataclasses import dataclass, field
@@ -8,6 +9,13 @@
 from typing import Final
 
 from balsamshed.configuration.resources import BackendServer, ListenerKind
+from balsamshed.placement.ejection import (
+    eject,
+    get_ejection_bound,
+    readmit,
+    schedule_trial,
+    start_trial,
+)
 from balsamshed.placement.hosts import (
     HostLoad,
     add_penalty,
@@ -36,19 +44,6 @@
 #: complete would otherwise eject working hosts.
 ANSWERED_RECENTLY_SECONDS: Final = 1.0
 
-#: Delay before a trial; doubles with each consecutive ejection. Each failed
-#: trial costs one caller's connection at each balancer.
-MIN_TRIAL_DELAY_SECONDS: Final = 2.0
-MAX_TRIAL_DELAY_SECONDS: Final = 60.0
-
-#: A trial without an outcome is replaced after this time: its flow may have
-#: been dropped before it was forwarded.
-TRIAL_TIMEOUT_SECONDS: Final = 5.0
-
-#: An ejection this long after the host was readmitted starts again with the
-#: minimum delay.
-EJECTION_RESET_SECONDS: Final = 60.0
-
 
 @dataclass(slots=True)
 class HostLoadTracker:
@@ -145,24 +140,6 @@
     )
 
 
-def get_ejection_bound(server_count: int) -> int:
-    """Return the maximum number of ejected hosts of a service.
-
-    Parameters
-    ----------
-    server_count : int
-        Number of backend servers of the service that take new work.
-
-    Returns
-    -------
-    int
-        A third, rounded down, but at least one of two or more servers.
-    """
-    if server_count < 2:
-        return 0
-    return max(1, server_count // 3)
-
-
 def record_opened(
     tracker: HostLoadTracker, host: int, kind: ListenerKind
 ) -> None:
@@ -238,7 +215,7 @@
     host_load.failures = 0
     host_load.answered_at = now
     if host_load.is_ejected and host_load.trial_at > -inf:
-        _readmit(host_load, now)
+        readmit(host_load, now)
 
 
 def record_refused(tracker: HostLoadTracker, host: int, now: float) -> None:
@@ -279,7 +256,7 @@
     add_penalty(host_load, UNANSWERED_PENALTY * host_load.slots, now)
     if host_load.is_ejected:
         if host_load.trial_at > -inf:
-            _schedule_trial(host_load, now)
+            schedule_trial(host_load, now)
         return
     if host_load.failures < FAILURES_TO_EJECT:
         return
@@ -288,10 +265,7 @@
     service = host_load.service
     bound = get_ejection_bound(len(tracker.services.get(service, ())))
     if count_ejected(tracker, service) < bound and _is_usable(tracker, host):
-        if now - host_load.slow_start_at > EJECTION_RESET_SECONDS:
-            host_load.ejections = 0
-        host_load.is_ejected = True
-        _schedule_trial(host_load, now)
+        eject(host_load, now)
 
 
 def record_report(
@@ -347,13 +321,7 @@
     bool
         Whether the flow must be sent to the host as a trial.
     """
-    host_load = tracker.hosts[host]
-    if not host_load.is_ejected or now < host_load.ejected_until:
-        return False
-    if now - host_load.trial_at < TRIAL_TIMEOUT_SECONDS:
-        return False
-    host_load.trial_at = now
-    return True
+    return start_trial(tracker.hosts[host], now)
 
 
 def get_fastest_duration(tracker: HostLoadTracker, service: str) -> float:
@@ -397,20 +365,6 @@
     )
 
 
-def _schedule_trial(host_load: HostLoad, now: float) -> None:
-    # The exponent is bounded so that the power cannot overflow.
-    wait = MIN_TRIAL_DELAY_SECONDS * 2.0 ** min(host_load.ejections, 10)
-    host_load.ejected_until = now + min(wait, MAX_TRIAL_DELAY_SECONDS)
-    host_load.ejections += 1
-    host_load.trial_at = -inf
-
-
-def _readmit(host_load: HostLoad, now: float) -> None:
-    host_load.is_ejected = False
-    host_load.trial_at = -inf
-    host_load.slow_start_at = now
-
-
 def _readmit_excess(tracker: HostLoadTracker, service: str, now: float) -> None:
     # With fewer usable hosts the bound is lower. The hosts whose trials are
     # due first are readmitted.
@@ -423,7 +377,7 @@
     ejected.sort(key=_get_ejected_until)
     excess = len(ejected) - get_ejection_bound(len(servers))
     for host_load in ejected[: max(0, excess)]:
-        _readmit(host_load, now)
+        readmit(host_load, now)
 
 
 def _get_ejected_until(host_load: HostLoad) -> float:
--- a/balsamshed/placement/tests/test_load_tracker.py
+++ b/balsamshed/placement/tests/test_load_tracker.py
@@ -3,6 +3,7 @@
 import pytest
 
 from balsamshed.configuration.resources import ListenerKind
+from balsamshed.placement.ejection import get_ejection_bound
 from balsamshed.placement.estimates import (
     estimate_requests,
     estimate_slowness,
@@ -13,7 +14,6 @@
     HostLoadTracker,
     claim_trial,
     count_ejected,
-    get_ejection_bound,
     record_accepted,
     record_closed,
     record_opened,
