--- a/testbed/trials.py
+++ b/testbed/trials.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Final
 
 from balsamshed.flows.packets import build_flow_key
@@ -100,6 +100,36 @@
     runs: Counter[str]
     wrong_service: int
 
+    def since(self, earlier: 'TrialOutcome') -> 'TrialOutcome':
+        """Return the outcome without what an earlier one had already.
+
+        Parameters
+        ----------
+        earlier : TrialOutcome
+            Outcome of the same trial at an earlier time.
+
+        Returns
+        -------
+        TrialOutcome
+            Feeds that had not broken or been refused then, and requests that
+            had no outcome then. Runs are those since the start of the trial.
+        """
+        ended = {
+            feed['id']
+            for feed in (*earlier.broken_feeds, *earlier.refused_feeds)
+        }
+        known = {request['id'] for request in earlier.requests}
+        return replace(
+            self,
+            feeds=tuple(feed for feed in self.feeds if feed['id'] not in ended),
+            requests=tuple(
+                request
+                for request in self.requests
+                if request['id'] not in known
+            ),
+            wrong_service=self.wrong_service - earlier.wrong_service,
+        )
+
     @property
     def broken_feeds(self) -> list[dict[str, Any]]:
         """Feeds that were open and broke."""
