Release a request once its new owner has looked it up

Cause, traced with the log line leave_waits of the failing runs of test_all_balancers_are_replaced_while_a_backend_server_drains: a leaving balancer waited up to 60 s for one request. The new owner had looked the flow up before the leaving balancer heard of the change of owners; believing itself the owner, it kept counting a flow whose last packet goes to the new owner only.

Change: the entry that is sent to a requester is released whatever the view of the sender.

--- a/balsamshed/node/tests/test_traffic.py
+++ b/balsamshed/node/tests/test_traffic.py
@@ -2,6 +2,7 @@
 
 from balsamshed.flows.messages import FlowCopies, FlowCopy
 from balsamshed.flows.packets import Relay, RelayKind, TcpFlag
+from balsamshed.flows.table import count_open_requests
 from balsamshed.limits.limiter import FlowOutcome
 from balsamshed.members.member import Member
 from balsamshed.members.ownership import get_hash_slot
@@ -320,3 +321,16 @@
     for sequence in (901, 1 << 31):
         effects = receive(node, make_packet(SYN, sequence=sequence), 1.5)
         assert isinstance(effects[0], ForwardPacket)
+
+
+def test_flow_that_a_new_owner_has_looked_up_is_not_counted():
+    """Guards against a planned stop that waits for a request whose last packet
+    goes to its new owner, of which this balancer has not heard yet."""
+    node = make_node()
+    open_flow(node)
+    receive(node, make_packet(ACK), 1.1)
+    relay = Relay(RelayKind.LOOKUP, 'lb-2', (), make_packet(ACK))
+    (forwarded,) = receive_relay(node, relay, 1.2)
+    assert isinstance(forwarded, ForwardPacket)
+    assert count_open_requests(node.flows) == 0
+    assert node.limiters['creneau/requests'].open_count == 0
--- a/balsamshed/node/traffic.py
+++ b/balsamshed/node/traffic.py
@@ -302,9 +302,9 @@
     if placement is None:
         return
     queue_copy(node.copy_queue, requester, FlowCopy(flow_key, placement.host))
-    owner = node.ownership.owners[get_hash_slot(flow_key)]
-    if owner != node.name:
-        # Later packets, including the last one, go to the requester only.
+    if requester != node.name:
+        # Later packets, including the last one, go to the requester only. This
+        # balancer may not have heard yet that it is no longer the owner.
         release_flow(node, flow_key, FlowOutcome.UNKNOWN, now)
         node.flows.placements[flow_key] = get_placement(
             placement.host,
