Reject a peer's routes whose goals do not match them

Cause: found in review. A list of goals shorter than the routes raised an IndexError, which the codec did not expect; a longer one was accepted. Change: both lists must have the same length.

--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -172,3 +172,24 @@
     del document['routes']['idempotent']
     del document['routes']['goals']
     assert decode_view(json.dumps(document).encode()) == view
+
+
+@pytest.mark.parametrize(
+    'goals',
+    [[[0.1, 1], [0.2, 2]], [[0.1]], [['soon', 1]], [[0.1, 1e400]], {'a': 1}],
+)
+def test_malformed_goals_reject_the_document(goals):
+    """Guards against a fetch of a peer's view that ends with an error."""
+    view = StoreView(build_view(9, build_endpoint(1)), build_table(4))
+    document = json.loads(encode_view(view))
+    document['routes']['goals'] = goals
+    assert decode_view(json.dumps(document).encode()) is None
+
+
+def test_fewer_goals_than_routes_reject_the_document():
+    """Guards against goals that are taken for those of other routes."""
+    table = build_table(4, p443='web', p80='files')
+    view = StoreView(build_view(9, build_endpoint(1)), table)
+    document = json.loads(encode_view(view))
+    document['routes']['goals'] = [[0.1, 1]]
+    assert decode_view(json.dumps(document).encode()) is None
--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -141,31 +141,27 @@
 
 
 def _decode_routes(document: Any) -> RouteTable:
-    # Absent from balancers of older builds.
-    idempotent = set(document.get('idempotent', ()))
     rows = document['routes']
+    # Both are absent from balancers of older builds.
+    idempotent = set(document.get('idempotent', ()))
     goals = document.get('goals') or [(0, 0) for _ in rows]
-    return create_route_table(
-        document['version'],
-        [
-            Route(
-                name,
-                address,
-                port,
-                tuple(ServiceShare(*share) for share in shares),
-                timeout,
-                position in idempotent,
-                *_decode_goal(goals[position]),
-            )
-            for position, (name, address, port, shares, timeout) in enumerate(
-                rows
-            )
-        ],
-        document['services'],
-    )
+    routes = [
+        _decode_route(row, goal, is_idempotent=position in idempotent)
+        for position, (row, goal) in enumerate(zip(rows, goals, strict=True))
+    ]
+    return create_route_table(document['version'], routes, document['services'])
 
 
-def _decode_goal(goal: Any) -> tuple[float, int]:
-    """Return the latency goal in seconds and the priority of a route."""
+def _decode_route(row: Any, goal: Any, is_idempotent: bool) -> Route:
+    name, address, port, shares, timeout = row
     latency_goal_seconds, priority = goal
-    return float(latency_goal_seconds), int(priority)
+    return Route(
+        name,
+        address,
+        port,
+        tuple(ServiceShare(*share) for share in shares),
+        timeout,
+        is_idempotent,
+        float(latency_goal_seconds),
+        int(priority),
+    )
