Wait for the declared backend servers before flows are opened

Cause of 60 feeds refused at the start of test_all_balancers_are_replaced_while_ a_backend_server_drains, traced with the metrics of a failing start: the test bed waited for readiness, which needs no objects. The watch had brought the service before its backend servers, so openings were refused (no_backend_server), as they have to be. Change: wait_until_serving waits for the newest backend server's version on every balancer.

--- a/testbed/fleet.py
+++ b/testbed/fleet.py
@@ -503,9 +503,11 @@
     """Wait until every balancer has all others and takes new flows.
 
     Objects must have been applied. A balancer drops openings for a moment
-    after it has met its group, and is not ready then.
+    after it has met its group, and is not ready then. It refuses those of a
+    service whose backend servers it has not received yet.
     """
     wait_until_ready(fleet)
+    _wait_until_applied(fleet)
     for balancer in fleet.balancers.values():
         url = f'http://127.0.0.1:{balancer.metrics_port}/readyz'
         wait_until(
@@ -515,6 +517,23 @@
         )
 
 
+def _wait_until_applied(fleet: Fleet) -> None:
+    """Wait until the declared objects are in force on every balancer."""
+    listing = call_json_api(
+        fleet.store_port, f'/v1/objects?prefix={GROUP}/backend_server/'
+    )
+    newest = max(entry['version'] for entry in listing['objects'])
+
+    def is_applied() -> bool:
+        return all(
+            read_metric(balancer, 'balsamshed_catalog_highest_version')
+            >= newest
+            for balancer in fleet.balancers.values()
+        )
+
+    wait_until(is_applied, f'version {newest}', _READY_TIMEOUT_SECONDS)
+
+
 def read_metric(balancer: Balancer, name: str) -> float:
     """Read a metric without labels.
 
