--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -91,6 +91,7 @@
     source: Source,
     reason: str,
     now: float,
+    received_bytes: int = 0,
 ) -> list[EdgeEffect]:
     """Keep the current view, and schedule the next read or fetch."""
     if source is Source.PEER_VIEW:
@@ -99,13 +100,15 @@
         backoff = compute_backoff(edge.fetch_failures, edge.randbelow)
         edge.fetch_retry_at = now + backoff
         edge.fetch_failures += 1
-        return [LogEvent('peer_view_failed', {'reason': reason})]
+        failure = {'reason': reason, 'received_bytes': received_bytes}
+        return [LogEvent('peer_view_failed', failure)]
     if not fail_read(edge.reads, now, edge.randbelow):
         return []
     age = get_view_age(edge.reads, now)
     fields = {
         'source': source,
         'reason': reason,
+        'received_bytes': received_bytes,
         'age_seconds': round(age, 3),
     }
     return [LogEvent('store_lost', fields)]
--- a/balsamshed/front_ends/edge_peers.py
+++ b/balsamshed/front_ends/edge_peers.py
@@ -130,12 +130,15 @@
     outcome: HttpResponse | HttpFailure,
 ) -> list[EdgeEffect]:
     now = read_clock()
+    received_bytes = 0
     if isinstance(outcome, HttpFailure):
-        reason = outcome.reason
+        reason, received_bytes = outcome.reason, outcome.received_bytes
     elif outcome.status != _OK:
         reason = f'status_{outcome.status}'
     elif (view := decode_view(outcome.body)) is None:
         reason = 'malformed'
     else:
         return handle_peer_view(edge, view, now)
-    return handle_read_failed(edge, Source.PEER_VIEW, reason, now)
+    return handle_read_failed(
+        edge, Source.PEER_VIEW, reason, now, received_bytes
+    )
--- a/balsamshed/front_ends/edge_store.py
+++ b/balsamshed/front_ends/edge_store.py
@@ -59,7 +59,9 @@
 ) -> list[EdgeEffect]:
     if isinstance(outcome, HttpFailure):
         process.counts['store_reads_failed'] += 1
-        return handle_read_failed(process.edge, source, outcome.reason, now)
+        return handle_read_failed(
+            process.edge, source, outcome.reason, now, outcome.received_bytes
+        )
     if source is Source.REVISION:
         return handle_revision(process.edge, outcome.revision)
     if source is Source.ENDPOINTS:
--- a/balsamshed/front_ends/http_session.py
+++ b/balsamshed/front_ends/http_session.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 
 from httptools import (
@@ -45,9 +45,12 @@
     reason : str
         ``timed_out``, ``connection_lost``, ``unreachable``, ``malformed`` or
         ``server_changed``.
+    received_bytes : int
+        Bytes of the response that had arrived.
     """
 
     reason: str
+    received_bytes: int = field(default=0, compare=False)
 
 
 #: Handles the outcome of one request.
@@ -73,6 +76,7 @@
         self._give_up_connecting: Callable[[], None] | None = None
         self._handle_outcome: OutcomeHandler | None = None
         self._timer: Timer | None = None
+        self._received_bytes = 0
 
     def get(
         self,
@@ -82,6 +86,7 @@
     ) -> None:
         """Send a GET request; no other request may be in progress."""
         self._handle_outcome = handle_outcome
+        self._received_bytes = 0
         self._timer = self._loop.call_later(
             timeout_seconds,
             partial(self.fail_request, 'timed_out'),
@@ -110,8 +115,16 @@
 
     def fail_request(self, reason: str) -> None:
         """Fail the request in progress and close its connection."""
+        received_bytes = self._received_bytes
         self._close_connection()
-        self._report_outcome(HttpFailure(reason))
+        self._report_outcome(HttpFailure(reason, received_bytes))
+
+    def record_received(
+        self, connection: '_ClientConnection', byte_count: int
+    ) -> None:
+        """Count the bytes of the response that have arrived."""
+        if connection is self._connection:
+            self._received_bytes += byte_count
 
     def change_server(self, server: SocketAddress) -> None:
         """Fail the request in progress and use another server from now on."""
@@ -127,7 +140,6 @@
     def handle_closed_connection(self, connection: '_ClientConnection') -> None:
         """Fail the request in progress if its connection was closed."""
         if connection is self._connection:
-            self._connection = None
             self.fail_request('connection_lost')
 
     def handle_malformed_response(
@@ -170,6 +182,7 @@
         transport.write(self._request)
 
     def data_received(self, data: bytes) -> None:
+        self._session.record_received(self, len(data))
         try:
             self._parser.feed_data(data)
         except HttpParserCallbackError as error:
--- a/balsamshed/front_ends/tests/test_http_session.py
+++ b/balsamshed/front_ends/tests/test_http_session.py
@@ -180,3 +180,18 @@
     with serve(send_slowly) as address:
         (outcome,) = fetch_paths(address, ['/a'], timeout=5)
     assert outcome == HttpResponse(200, LARGE_BODY)
+
+
+def respond_in_part(connection):
+    """Send the first bytes of a response and nothing more."""
+    read_path(connection)
+    connection.sendall(format_response(b'x' * 1000)[:500])
+    time.sleep(TIMEOUT_SECONDS)
+
+
+def test_failed_request_tells_how_much_had_arrived():
+    """Guards against logs in which a silent server looks like a slow one."""
+    with serve(respond_in_part) as address:
+        (outcome,) = fetch_paths(address, ('/a',), timeout=0.2)
+    assert outcome == HttpFailure('timed_out')
+    assert outcome.received_bytes == 500
