--- a/testbed/store_proxy.py
+++ b/testbed/store_proxy.py
@@ -22,6 +22,8 @@
 
 #: Delay of each chunk; shorter than the read timeout of a balancer.
 DELAY_SECONDS = 0.3
+#: Data that is forwarded at once; a limited rate applies between chunks.
+CHUNK_BYTES = 16_384
 
 
 class StoreProxy:
@@ -36,6 +38,9 @@
     def __init__(self, store_port: int) -> None:
         """Create a proxy that forwards all data."""
         self.mode = ProxyMode.PASS
+        #: Rate of the data from the store, as of a small link; None for no
+        #: limit.
+        self.bytes_per_second: float | None = None
         self._store_port = store_port
         self._writers: set[Any] = set()
 
@@ -79,12 +84,17 @@
         is_response: bool,
     ) -> None:
         try:
-            while chunk := await reader.read(65536):
+            while chunk := await reader.read(CHUNK_BYTES):
                 if self.mode is ProxyMode.DELAY:
                     await asyncio.sleep(DELAY_SECONDS)
+                if writer.is_closing():
+                    # The balancer has given the request up.
+                    break
                 if self._is_dropped(is_response=is_response):
                     continue
                 writer.write(chunk)
+                if is_response and self.bytes_per_second is not None:
+                    await asyncio.sleep(len(chunk) / self.bytes_per_second)
         except OSError:
             # One end reset the connection; reset the other one as well.
             writer.transport.abort()
--- /dev/null
+++ b/testbed/tests/test_large_configuration.py
@@ -0,0 +1,60 @@
+"""Edge balancer processes with thousands of routes and small links."""
+
+import asyncio
+import time
+
+from testbed.edge_site import open_site, wait_until
+from testbed.store_proxy import StoreProxy
+
+#: Routes of a large configuration, some 100 bytes each in the store.
+ROUTE_COUNT = 3000
+#: What a link of 5 Mbit/s leaves to the store while callers use half of it.
+LINK_BYTES_PER_SECOND = 300_000
+#: Time in which a change has to be in force on every balancer.
+IN_FORCE_SECONDS = 5
+BALANCERS = (1, 2, 3)
+FIRST_PORT = 2000
+
+
+def list_versions(site, number):
+    """Return the versions that a balancer has put in force."""
+    return [
+        int(event['version'])
+        for event in site.read_events(number)
+        if event['event'] == 'routes_changed'
+    ]
+
+
+async def start_behind_small_links(site):
+    """Start balancers that reach the store through links of a small VM."""
+    await site.start_store()
+    await site.start_endpoint(1)
+    hosts = []
+    for number in BALANCERS:
+        proxy = StoreProxy(site.store_port)
+        proxy.bytes_per_second = LINK_BYTES_PER_SECOND
+        site.store_ports[number] = next(site.free_ports)
+        await proxy.serve(site.store_ports[number])
+        hosts.append(site.start_balancer(number))
+    for host in hosts:
+        await wait_until(lambda host=host: site.is_ready(host), 'ready')
+
+
+async def check_large_change(site):
+    await start_behind_small_links(site)
+    ports = range(FIRST_PORT, FIRST_PORT + ROUTE_COUNT)
+    site.write_configuration(2, *ports)
+    written_at = time.monotonic()
+    for number in BALANCERS:
+        await wait_until(
+            lambda number=number: 2 in list_versions(site, number),
+            f'version 2 on balancer {number}',
+        )
+    assert time.monotonic() - written_at < IN_FORCE_SECONDS
+
+
+def test_large_configuration_is_in_force_in_time_over_small_links(tmp_path):
+    """Guards against a transfer that takes longer than a time limit, is given
+    up and starts again, so that a large table never arrives."""
+    with open_site(tmp_path) as site:
+        asyncio.run(check_large_change(site))
