Give up a transfer only when it does not advance

Cause: requests had a limit for the whole response (0.7 s to the store, 0.5 s to peers). 487 KB of routes take 0.78 s on an idle link of 5 Mbit/s, so they were given up and requested again, and the repetitions filled the link for everything else. Evidence: received_bytes of the failures; 445 to 680 KB a second into each late VM. Change: the limit applies to each wait for data; a minimum rate of 16 KB/s ends responses of single bytes. It works for any size that the link can carry in time.

--- a/balsamshed/front_ends/edge_peers.py
+++ b/balsamshed/front_ends/edge_peers.py
@@ -41,7 +41,7 @@
 #: Path at which peers fetch this balancer's view of the store. The revision and
 #: the routes version that the peer already has follow it.
 VIEW_PATH: Final = '/view'
-#: Time limit of a fetch of a peer's view.
+#: Longest wait for data in a fetch of a peer's view.
 FETCH_TIMEOUT_SECONDS: Final = 0.5
 
 _OK: Final = 200
--- a/balsamshed/front_ends/http_session.py
+++ b/balsamshed/front_ends/http_session.py
@@ -1,13 +1,19 @@
 """HTTP client with one request at a time, each on a connection of its own.
 
-Every request has a time limit. A connection is never used again: a late second
+The time limit of a request applies to each wait for data and not to the whole
+response: a large response over a small link would otherwise be given up and
+requested again for ever, and the repetitions fill the link. A response must
+also keep to a minimum rate, so that a server that sends single bytes does not
+occupy the session. A connection is never used again: a late second
 copy of a response would be taken for the response to the next request, and a
 connection on which a response was lost may never deliver another.
 """
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from typing import Final
 
 from httptools import (
     HttpParserCallbackError,
@@ -19,6 +25,9 @@
 from balsamshed.front_ends.streams import Transport, open_stream
 from balsamshed.settings.balancer import SocketAddress
 
+#: Average rate that a response has to keep to after its first wait.
+MIN_BYTES_PER_SECOND: Final = 16_384
+
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
@@ -76,6 +85,9 @@
         self._give_up_connecting: Callable[[], None] | None = None
         self._handle_outcome: OutcomeHandler | None = None
         self._timer: Timer | None = None
+        self._timeout_seconds: float = 0
+        self._started_at: float = 0
+        self._received_at: float = 0
         self._received_bytes = 0
 
     def get(
@@ -84,12 +96,24 @@
         timeout_seconds: float,
         handle_outcome: OutcomeHandler,
     ) -> None:
-        """Send a GET request; no other request may be in progress."""
+        """Send a GET request; no other request may be in progress.
+
+        Parameters
+        ----------
+        path : str
+            Request target.
+        timeout_seconds : float
+            Longest wait for the connection, for the first and for more data.
+        handle_outcome : callable
+            Called once, with the outcome.
+        """
         self._handle_outcome = handle_outcome
         self._received_bytes = 0
+        self._timeout_seconds = timeout_seconds
+        self._started_at = time.monotonic()
+        self._received_at = self._started_at
         self._timer = self._loop.call_later(
-            timeout_seconds,
-            partial(self.fail_request, 'timed_out'),
+            timeout_seconds, self._check_progress
         )
         request = (
             f'GET {path} HTTP/1.1\r\n'
@@ -125,6 +149,7 @@
         """Count the bytes of the response that have arrived."""
         if connection is self._connection:
             self._received_bytes += byte_count
+            self._received_at = time.monotonic()
 
     def change_server(self, server: SocketAddress) -> None:
         """Fail the request in progress and use another server from now on."""
@@ -149,6 +174,20 @@
         if connection is self._connection:
             self.fail_request('malformed')
 
+    def _check_progress(self) -> None:
+        """Fail the request in progress if its response does not advance."""
+        transfer_seconds = self._received_bytes / MIN_BYTES_PER_SECOND
+        due_at = self._timeout_seconds + min(
+            self._received_at, self._started_at + transfer_seconds
+        )
+        remaining_seconds = due_at - time.monotonic()
+        if remaining_seconds <= 0:
+            self.fail_request('timed_out')
+        else:
+            self._timer = self._loop.call_later(
+                remaining_seconds, self._check_progress
+            )
+
     def _close_connection(self) -> None:
         connection = self._connection
         give_up_connecting = self._give_up_connecting
--- a/balsamshed/front_ends/tests/test_http_session.py
+++ b/balsamshed/front_ends/tests/test_http_session.py
@@ -195,3 +195,36 @@
         (outcome,) = fetch_paths(address, ('/a',), timeout=0.2)
     assert outcome == HttpFailure('timed_out')
     assert outcome.received_bytes == 500
+
+
+def respond_slowly(connection):
+    """Send a response in parts that each arrive within the time limit."""
+    read_path(connection)
+    response = format_response(b'x' * 60_000)
+    for start in range(0, len(response), 10_000):
+        connection.sendall(response[start : start + 10_000])
+        time.sleep(0.1)
+
+
+def test_response_that_advances_is_not_given_up():
+    """Guards against large responses that never arrive over a small link."""
+    with serve(respond_slowly) as address:
+        (outcome,) = fetch_paths(address, ('/a',), timeout=0.25)
+    assert outcome == HttpResponse(200, b'x' * 60_000)
+
+
+def respond_bytewise(connection):
+    """Send single bytes for a long time."""
+    read_path(connection)
+    for byte in format_response(b'x' * 100):
+        connection.sendall(bytes((byte,)))
+        time.sleep(0.05)
+
+
+def test_response_of_single_bytes_is_given_up():
+    """Guards against a server that occupies the session of a balancer."""
+    begin = time.monotonic()
+    with serve(respond_bytewise) as address:
+        (outcome,) = fetch_paths(address, ('/a',), timeout=0.25)
+    assert outcome == HttpFailure('timed_out')
+    assert time.monotonic() - begin < TIMEOUT_SECONDS
--- a/balsamshed/store/polling.py
+++ b/balsamshed/store/polling.py
@@ -34,7 +34,8 @@
 #: Attempts to read a possibly stale view before current reads are used. A
 #: replica may lack the first configuration of a site for seconds.
 MAX_STALE_READ_ATTEMPTS: Final = 4
-#: Timeout of one read. A slow store takes 60 times its usual 4 ms.
+#: Longest wait for data in one read. A slow store takes 60 times its usual
+#: 4 ms.
 READ_TIMEOUT_SECONDS: Final = 0.7
 #: Backoff after the first failed read; doubles with each further failure.
 INITIAL_BACKOFF_SECONDS: Final = 0.1
