--- a/balsamshed/platform/tests/test_listing.py
+++ b/balsamshed/platform/tests/test_listing.py
@@ -50,7 +50,7 @@
 
 def test_invalid_entries_do_not_hide_the_others():
     """Guards against one invalid entry that removes all endpoints."""
-    items = (build_entry(), list_at(3', state='odd'), 'nonsense')
+    items = (build_entry(), build_entry('i-3', state='odd'), 'nonsense')
     view, rejected = decode_endpoints(SourceListing(items, 9, 9))
     assert [endpoint.instance for endpoint in view.endpoints] == [0x2FA0]
     assert rejected == ('i-3:state', ':id')
