--- a/balsamshed/front_ends/http_server.py
+++ b/balsamshed/front_ends/http_server.py
@@ -31,11 +31,14 @@
         Response body.
     content_type : str
         Media type of the body.
+    headers : tuple of (str, str)
+        Further headers, by name.
     """
 
     status: int
     body: bytes = b''
     content_type: str = 'text/plain; charset=utf-8'
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 #: Returns the response to a request target: a path with an optional query.
@@ -95,10 +98,12 @@
 def _format_response(response: ServerResponse, keeps_alive: bool) -> bytes:
     reason = _REASON_PHRASES.get(response.status, '')
     connection = 'keep-alive' if keeps_alive else 'close'
+    headers = ''.join(f'{name}: {text}\r\n' for name, text in response.headers)
     head = (
         f'HTTP/1.1 {response.status} {reason}\r\n'
         f'Content-Type: {response.content_type}\r\n'
         f'Content-Length: {len(response.body)}\r\n'
+        f'{headers}'
         f'Connection: {connection}\r\n\r\n'
     )
     return head.encode('ascii') + response.body
--- a/testbed/edge_site.py
+++ b/testbed/edge_site.py
@@ -148,7 +148,9 @@
         self.endpoints[number] = endpoint
         self.write_entry(number)
 
-    def write_entry(self, number: int, state: str = 'ready') -> None:
+    def write_entry(
+        self, number: int, state: str = 'ready', sequence: int = 1
+    ) -> None:
         """Write an endpoint's entry to the store."""
         spec = {
             'service': 'web',
@@ -158,7 +160,7 @@
             'maxConcurrency': 2,
             'state': state,
             'warmupLeftMs': 0,
-            'sequence': 1,
+            'sequence': sequence,
             'born': 1700000000000,
         }
         put_object(self.store, 'servers', f'i-{number:x}', spec)
--- a/testbed/metadata_store.py
+++ b/testbed/metadata_store.py
@@ -1,9 +1,10 @@
 """Stand-in for the platform's metadata store, with faults.
 
-It lists the objects of a kind in pages and increments one revision with each
-change, as the platform's page on the store describes. Reads that may be stale
-are served from a replica, which may lag. The store runs in the event loop of
-the test.
+A store that comes back from an older copy gives revisions out again; each
+response names its era, which is one higher then. The store lists the objects
+of a kind in pages and increments one revision with each change, as the
+platform's page on the store describes. Reads that may be stale are served from
+a replica, which may lag. The store runs in the event loop of the test.
 """
 
 import json
@@ -56,6 +57,8 @@
     replica : Snapshot or None
         Snapshot that serves reads that may be stale; None while the replica
         is up to date.
+    era : int
+        Number of times that the store has started from a copy.
     call_count : int
         Number of calls received.
     calls_by_kind : Counter of str
@@ -67,6 +70,7 @@
     response_status: int = 200
     objects_by_kind: dict[str, dict[str, Any]] = field(default_factory=dict)
     replica: Snapshot | None = None
+    era: int = 1
     call_count: int = 0
     calls_by_kind: Counter[str] = field(default_factory=Counter)
 
@@ -95,6 +99,16 @@
     return Snapshot(store.revision, objects_by_kind)
 
 
+def restore_snapshot(store: MetadataStore, snapshot: Snapshot) -> None:
+    """Go back to a copy, and lose all changes since."""
+    store.revision = snapshot.revision
+    store.objects_by_kind = {
+        kind: dict(objects)
+        for kind, objects in snapshot.objects_by_kind.items()
+    }
+    store.era += 1
+
+
 def handle_call(store: MetadataStore, target: str) -> ServerResponse:
     """Handle a list call."""
     store.call_count += 1
@@ -117,7 +131,12 @@
         'hasMore': len(page) < len(names),
         'currentRev': source.revision,
     }
-    return ServerResponse(200, json.dumps(body).encode(), 'application/json')
+    return ServerResponse(
+        200,
+        json.dumps(body).encode(),
+        'application/json',
+        (('Store-Era', str(store.era)),),
+    )
 
 
 class _StoreConnection(Protocol):
