Fetch newer routes from peers whatever the revision

Cause: a balancer compared only the store's revision with that of a report. With the same or a higher revision it kept an older version of the routes, as it may get one from a store that came back from an older copy. Change: reports name the version in force (format 2, so balancers of older builds read the store for themselves meanwhile); revision and version are compared apart, and a view with older routes is not confirmed. A fetch without news backs off.

--- a/balsamshed/codecs/reports.py
+++ b/balsamshed/codecs/reports.py
@@ -5,7 +5,8 @@
 the thrift library takes longer than the rest of the start.
 
 Big-endian: format number, length of the data centre's name, number of
-endpoints, number of peers, revision, age in milliseconds; then the name, the
+endpoints, number of peers, revision, age in milliseconds, version of the
+routes; then the name, the
 endpoints (cookie, requests in flight with the highest bit set for a suspected
 endpoint) and the addresses of the peers.
 """
@@ -19,11 +20,11 @@
 from balsamshed.peers.report import EndpointReport, PeerReport
 
 #: Version of this format; reports of other versions are rejected.
-FORMAT_VERSION: Final = 1
+FORMAT_VERSION: Final = 2
 #: Limit that keeps a report within one network packet.
 MAX_ENDPOINTS: Final = 180
 
-_HEADER: Final = Struct('>BBBBqI')
+_HEADER: Final = Struct('>BBBBqIq')
 _ENDPOINT: Final = Struct('>IH')
 _ADDRESS_BYTES: Final = 4
 _SUSPECTED_BIT: Final = 1 << 15
@@ -53,6 +54,7 @@
         report.revision,
         # Rounded up: a peer must not take the confirmation for more recent.
         ceil(age) if age < _UNKNOWN_AGE else _UNKNOWN_AGE,
+        report.version,
     )
     parts = [header, name]
     for endpoint in endpoints:
@@ -70,8 +72,9 @@
         header = _HEADER.unpack_from(datagram)
     except error:
         return MalformedReport.TOO_SHORT
-    version, name_length, endpoint_count, peer_count, revision, age = header
-    if version != FORMAT_VERSION:
+    format_version, name_length, endpoint_count, peer_count = header[:4]
+    revision, age, version = header[4:]
+    if format_version != FORMAT_VERSION:
         return MalformedReport.WRONG_FORMAT
     endpoints_offset = _HEADER.size + name_length
     peers_offset = endpoints_offset + endpoint_count * _ENDPOINT.size
@@ -95,4 +98,5 @@
             inet_ntoa(datagram[start : start + _ADDRESS_BYTES])
             for start in range(peers_offset, len(datagram), _ADDRESS_BYTES)
         ),
+        version,
     )
--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -55,6 +55,7 @@
         max_size=20,
     ).map(tuple),
     st.lists(HOSTS, max_size=3).map(tuple),
+    st.integers(-1, 2**62),
 )
 
 
@@ -65,6 +66,7 @@
     assert decoded.endpoints == report.endpoints
     assert decoded.peers == report.peers
     assert decoded.revision == report.revision
+    assert decoded.version == report.version
     assert decoded.data_centre == report.data_centre
     assert abs(decoded.age_seconds - report.age_seconds) <= 0.001
 
--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -115,6 +115,7 @@
             for cookie in cookies
         ),
         pick_shared_addresses(edge.peer_table, edge.randbelow),
+        edge.steering.routes.version,
     )
 
 
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -139,6 +139,34 @@
     assert edge.steering.routes.version == 5
 
 
+def test_newer_routes_are_fetched_at_the_same_revision():
+    """Guards against a version that stays behind on a balancer that started
+    from an older copy of the store, although its peers have a newer one."""
+    edge = build_edge()
+    read_store(edge, build_view(5, build_endpoint(1)), build_table(5), 0)
+    report = PeerReport('a', 5, 0.1, (), (), version=6)
+    assert list_fetches(tick_and_report(edge, '10.9.0.2', report, 1))
+    # A view with older routes is not confirmed.
+    assert get_view_age(edge.reads, 1) == 1
+    newer = StoreView(EndpointChanges(5, 5, (), ()), build_table(6))
+    handle_peer_view(edge, newer, 1.1)
+    assert edge.steering.routes.version == 6
+    tick_and_report(edge, '10.9.0.2', report, 1.2)
+    assert get_view_age(edge.reads, 1.2) < 0.2
+
+
+def test_fetch_without_news_is_repeated_with_backoff():
+    """Guards against a fetch at every report of a peer that has restarted."""
+    edge = build_edge()
+    read_store(edge, build_view(5, build_endpoint(1)), build_table(5), 0)
+    report = PeerReport('a', 5, 0.1, (), (), version=6)
+    tick_and_report(edge, '10.9.0.2', report, 1)
+    older = StoreView(build_view(4), None)
+    handle_peer_view(edge, older, 1)
+    assert not list_fetches(tick_and_report(edge, '10.9.0.2', report, 1))
+    assert list_fetches(tick_and_report(edge, '10.9.0.2', report, 2))
+
+
 def test_report_queued_during_a_pause_confirms_nothing():
     """Guards against a view age that lacks the length of the pause."""
     edge = build_edge()
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -25,7 +25,11 @@
     record_view,
 )
 from balsamshed.peers.report import PeerReport
-from balsamshed.peers.table import list_peers_with_newer_view, record_report
+from balsamshed.peers.table import (
+    has_newer_view,
+    list_peers_with_newer_view,
+    record_report,
+)
 from balsamshed.peers.view import StoreView
 from balsamshed.placement.in_flight import forget_endpoint
 from balsamshed.routes.table import RouteTable
@@ -141,9 +145,11 @@
     if now < edge.stale_reports_until:
         # The reported age may lack the time that the report was queued.
         return effects
-    confirm_revision(edge.reads, report.revision, now - report.age_seconds)
+    version = edge.steering.routes.version
+    if report.version <= version:
+        confirm_revision(edge.reads, report.revision, now - report.age_seconds)
     can_fetch = edge.fetch_started_at is None and now >= edge.fetch_retry_at
-    if can_fetch and report.revision > edge.reads.revision:
+    if can_fetch and has_newer_view(report, edge.reads.revision, version):
         effects.extend(_fetch_newer_view(edge, now))
     return effects
 
@@ -153,21 +159,26 @@
     view: StoreView,
     now: float,
 ) -> list[EdgeEffect]:
-    """Apply a peer's view of the store if it is newer."""
-    edge.fetch_started_at = None
-    edge.fetch_failures = 0
+    """Apply what is newer of a peer's view of the store."""
     endpoints = view.endpoints
+    effects: list[EdgeEffect] = []
+    if view.routes is not None:
+        effects.extend(_apply_routes(edge, view.routes, now))
     if endpoints.revision <= edge.reads.revision:
-        return []
+        if not effects:
+            # The peer has restarted, or its report was older than its view.
+            return handle_read_failed(
+                edge, Source.PEER_VIEW, 'nothing_newer', now
+            )
+        _end_fetch(edge)
+        return effects + _update_readiness(edge, now)
+    _end_fetch(edge)
     if isinstance(endpoints, EndpointChanges):
         merged = merge_changes(edge.history, endpoints)
         if merged is None:
-            return _fetch_whole_view(edge, endpoints, now)
+            return effects + _fetch_whole_view(edge, endpoints, now)
         endpoints = merged
     edge.needs_whole_view = False
-    effects: list[EdgeEffect] = []
-    if view.routes is not None:
-        effects.extend(_apply_routes(edge, view.routes, now))
     effects.extend(_apply_endpoints(edge, endpoints, now))
     # The view counts as confirmed once a report shows the same revision;
     # without one, the store is read.
@@ -203,6 +214,11 @@
     return StoreView(endpoints, routes if routes.version > version else None)
 
 
+def _end_fetch(edge: Edge) -> None:
+    edge.fetch_started_at = None
+    edge.fetch_failures = 0
+
+
 def _fetch_whole_view(
     edge: Edge, changes: EndpointChanges, now: float
 ) -> list[EdgeEffect]:
@@ -223,6 +239,7 @@
     holders = list_peers_with_newer_view(
         edge.peer_table,
         edge.reads.revision,
+        edge.steering.routes.version,
         edge.data_centre,
     )
     if not holders:
--- a/balsamshed/peers/report.py
+++ b/balsamshed/peers/report.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-#: Size of a report on the network: 28 bytes of IP and UDP headers and 16 of the
+#: Size of a report on the network: 28 bytes of IP and UDP headers and 24 of the
 #: report's own header, then each endpoint and each peer.
-BASE_REPORT_BYTES: Final = 28 + 16
+BASE_REPORT_BYTES: Final = 28 + 24
 ENDPOINT_BYTES: Final = 6
 PEER_BYTES: Final = 4
 
@@ -46,6 +46,8 @@
         Endpoints with requests in flight or under suspicion.
     peers : tuple of str
         IPv4 addresses of some peers with a current report at the sender.
+    version : int
+        Version of the routes in force at the sender; -1 without any.
     """
 
     data_centre: str
@@ -53,6 +55,7 @@
     age_seconds: float
     endpoints: tuple[EndpointReport, ...]
     peers: tuple[str, ...]
+    version: int = -1
 
 
 def calculate_wire_size(report: PeerReport) -> int:
--- a/balsamshed/peers/table.py
+++ b/balsamshed/peers/table.py
@@ -235,19 +235,30 @@
     )
 
 
+def has_newer_view(report: PeerReport, revision: int, version: int) -> bool:
+    """Return whether a peer has a later revision or a later version.
+
+    Revision and version are compared apart: after the store has come back
+    from an older copy, the latest version may be in force on peers only.
+    """
+    return report.revision > revision or report.version > version
+
+
 def list_peers_with_newer_view(
     table: PeerTable,
     revision: int,
+    version: int,
     data_centre: str,
 ) -> list[str]:
-    """Return the live peers whose view is newer than a revision.
+    """Return the live peers whose view is newer than a revision and a version.
 
     Peers in other data centres are listed only if none in this one has it.
     """
     holders = [
         (peer.report.data_centre != data_centre, host)
         for host, peer in table.peers.items()
-        if peer.report is not None and peer.report.revision > revision
+        if peer.report is not None
+        and has_newer_view(peer.report, revision, version)
     ]
     only_remote = min(holders, default=(False, ''))[0]
     return [host for is_remote, host in holders if is_remote == only_remote]
--- a/balsamshed/peers/tests/test_table.py
+++ b/balsamshed/peers/tests/test_table.py
@@ -172,8 +172,8 @@
     """Guards against unnecessary traffic between data centres."""
     table = PeerTable('10.0.0.9')
     record_report(table, '10.0.0.1', build_report(5, 'b'), 0)
-    assert list_peers_with_newer_view(table, 4, 'a') == ['10.0.0.1']
+    assert list_peers_with_newer_view(table, 4, 0, 'a') == ['10.0.0.1']
     record_report(table, '10.0.0.2', build_report(5, 'a'), 0)
     record_report(table, '10.0.0.3', build_report(4, 'a'), 0)
-    assert list_peers_with_newer_view(table, 4, 'a') == ['10.0.0.2']
-    assert list_peers_with_newer_view(table, 5, 'a') == []
+    assert list_peers_with_newer_view(table, 4, 0, 'a') == ['10.0.0.2']
+    assert list_peers_with_newer_view(table, 5, 0, 'a') == []
