Keep what an older copy of the store must not undo

Cause: the directory replaces its endpoints with each newer view. A store that comes back from an older copy lists draining endpoints as ready, ended ones as present, and lacks new ones until they write again. Change: revisions of a later era (store/revisions.py; not set by any front end yet) compare entries with what was known: a lower sequence of the same start keeps the known state until the endpoint writes again, and missing endpoints are retained as after an outage. Expiry no longer passes through apply_view, which took retained endpoints for listed ones and extended their retention. explains_all_changes takes neither a lower revision nor another era for no change.

--- a/balsamshed/endpoints/directory.py
+++ b/balsamshed/endpoints/directory.py
@@ -6,6 +6,13 @@
 from typing import Final
 
 from balsamshed.endpoints.endpoint import Endpoint, has_same_state
+from balsamshed.endpoints.restored import (
+    OutdatedEntry,
+    find_outdated_entries,
+    keep_outdated_entries,
+    replace_outdated_entries,
+)
+from balsamshed.store.revisions import get_era
 
 #: Retention of endpoints whose entries expired in an outage of the store. Live
 #: endpoints write new entries within two seconds of the store's return.
@@ -83,6 +90,8 @@
         seconds at which they were first missing.
     removed : dict of int to (Endpoint, float)
         Removed endpoints with the monotonic seconds of their removal.
+    outdated : dict of int to OutdatedEntry
+        Entries that a restored store lists in an older state, by instance ID.
     by_cookie : dict of (str, int) to Endpoint
         Present and removed endpoints by service and cookie.
     available_by_service : dict of str to tuple of Endpoint
@@ -94,6 +103,7 @@
     endpoints: dict[int, Endpoint] = field(default_factory=dict)
     missing_since: dict[int, float] = field(default_factory=dict)
     removed: dict[int, tuple[Endpoint, float]] = field(default_factory=dict)
+    outdated: dict[int, OutdatedEntry] = field(default_factory=dict)
     by_cookie: dict[tuple[str, int], Endpoint] = field(default_factory=dict)
     available_by_service: dict[str, tuple[Endpoint, ...]] = field(
         default_factory=dict,
@@ -110,7 +120,8 @@
 
     Entries expire during an outage of the store, and live endpoints write them
     again within two seconds of its return. After an outage, missing endpoints
-    that were not draining are therefore retained for that time.
+    that were not draining are therefore retained for that time. So are those
+    that a restored store lacks, and its older states replace no newer ones.
 
     A view with a lower revision than the last one is ignored: it comes from a
     replica that lags, or from a response that arrived out of order.
@@ -133,24 +144,14 @@
     """
     if view.revision < directory.revision:
         return ()
-    previous = directory.endpoints
-    newer = {endpoint.instance: endpoint for endpoint in view.endpoints}
-    newer.update(_retain_missing(directory, newer, now, retain_missing))
-    changes = [
-        EndpointChange(ChangeKind.REMOVED, endpoint)
-        for instance, endpoint in previous.items()
-        if instance not in newer
-    ]
-    for instance, endpoint in newer.items():
-        kind = _classify_change(previous.get(instance), endpoint)
-        if kind is not None:
-            changes.append(EndpointChange(kind, endpoint))
+    listed = {endpoint.instance: endpoint for endpoint in view.endpoints}
+    is_restored = 0 <= get_era(directory.revision) < get_era(view.revision)
+    _update_outdated(directory, listed, is_restored=is_restored)
+    newer = replace_outdated_entries(directory.outdated, listed)
+    retain_missing = retain_missing or is_restored
+    newer.update(_retain_missing(directory, listed, now, retain_missing))
     directory.revision = view.revision
-    directory.endpoints = newer
-    _retain_removed(directory, changes, now)
-    if changes or not directory.by_cookie:
-        _index_endpoints(directory)
-    return tuple(changes)
+    return _replace_endpoints(directory, newer, now)
 
 
 def extend_missing_retention(
@@ -180,18 +181,21 @@
     tuple of EndpointChange
         The removals.
     """
-    if not directory.missing_since:
+    expired = {
+        instance
+        for instance, missing_since in directory.missing_since.items()
+        if now - missing_since > MISSING_RETENTION_SECONDS
+    }
+    if not expired:
         return ()
-    present = tuple(
-        endpoint
+    for instance in expired:
+        del directory.missing_since[instance]
+    present = {
+        instance: endpoint
         for instance, endpoint in directory.endpoints.items()
-        if instance not in directory.missing_since
-        or now - directory.missing_since[instance] <= MISSING_RETENTION_SECONDS
-    )
-    if len(present) == len(directory.endpoints):
-        return ()
-    view = EndpointView(directory.revision, present)
-    return apply_view(directory, view, now)
+        if instance not in expired
+    }
+    return _replace_endpoints(directory, present, now)
 
 
 def find_endpoint(
@@ -211,6 +215,44 @@
     return directory.available_by_service.get(service, ())
 
 
+def _replace_endpoints(
+    directory: EndpointDirectory, newer: dict[int, Endpoint], now: float
+) -> tuple[EndpointChange, ...]:
+    previous = directory.endpoints
+    changes = [
+        EndpointChange(ChangeKind.REMOVED, endpoint)
+        for instance, endpoint in previous.items()
+        if instance not in newer
+    ]
+    for instance, endpoint in newer.items():
+        kind = _classify_change(previous.get(instance), endpoint)
+        if kind is not None:
+            changes.append(EndpointChange(kind, endpoint))
+    directory.endpoints = newer
+    _retain_removed(directory, changes, now)
+    if changes or not directory.by_cookie:
+        _index_endpoints(directory)
+    return tuple(changes)
+
+
+def _update_outdated(
+    directory: EndpointDirectory,
+    listed: dict[int, Endpoint],
+    *,
+    is_restored: bool,
+) -> None:
+    if is_restored:
+        removed = {
+            instance: endpoint
+            for instance, (endpoint, _) in directory.removed.items()
+        }
+        directory.outdated = find_outdated_entries(
+            listed, directory.endpoints, removed
+        )
+    elif directory.outdated:
+        directory.outdated = keep_outdated_entries(directory.outdated, listed)
+
+
 def _retain_missing(
     directory: EndpointDirectory,
     newer: dict[int, Endpoint],
--- a/balsamshed/endpoints/history.py
+++ b/balsamshed/endpoints/history.py
@@ -16,6 +16,7 @@
 from balsamshed.endpoints.digests import calculate_digest
 from balsamshed.endpoints.directory import EndpointView
 from balsamshed.endpoints.endpoint import Endpoint, has_same_state
+from balsamshed.store.revisions import get_era
 
 #: Size of the history; a peer with an older view gets a whole view.
 MAX_CHANGES: Final = 512
@@ -123,7 +124,9 @@
     since_revision : int
         Revision up to which all objects of the store are known.
     """
-    if view.revision != view.max_revision or since_revision < 0:
+    if view.revision != view.max_revision or view.revision <= since_revision:
+        return False
+    if since_revision < 0 or get_era(view.revision) != get_era(since_revision):
         return False
     listed = {endpoint.instance for endpoint in view.endpoints}
     removed_count = sum(
--- a/balsamshed/endpoints/tests/test_directory.py
+++ b/balsamshed/endpoints/tests/test_directory.py
@@ -11,6 +11,7 @@
     list_available_endpoints,
 )
 from balsamshed.endpoints.endpoint import derive_cookie
+from balsamshed.store.revisions import combine_revision
 
 LIFETIME = 60
 
@@ -120,3 +121,72 @@
     apply_view(directory, build_view(1, draining), now=0)
     changes = apply_view(directory, build_view(2), 10, retain_missing=True)
     assert list_kinds(changes) == [ChangeKind.REMOVED]
+
+
+def test_expired_endpoint_does_not_extend_the_retention_of_others():
+    """Guards against an endpoint that is gone and kept until the next view."""
+    directory = EndpointDirectory(LIFETIME)
+    first, second = build_endpoint(1), build_endpoint(2)
+    apply_view(directory, build_view(1, first, second), now=0)
+    apply_view(directory, build_view(2, second), 1, retain_missing=True)
+    apply_view(directory, build_view(3), 2, retain_missing=True)
+    assert len(expire_missing(directory, 1.1 + MISSING_RETENTION_SECONDS)) == 1
+    assert len(expire_missing(directory, 2.1 + MISSING_RETENTION_SECONDS)) == 1
+
+
+def apply_in_era(directory, era, number, *endpoints, now=0):
+    """Apply a view of an era of the store."""
+    view = build_view(combine_revision(era, number), *endpoints)
+    return apply_view(directory, view, now)
+
+
+def test_copy_of_a_restored_store_does_not_undo_a_drain():
+    """Guards against new flows to an endpoint that drains or has ended."""
+    directory = EndpointDirectory(LIFETIME)
+    ready = build_endpoint(1, sequence=1)
+    draining = build_endpoint(1, sequence=7, is_draining=True)
+    apply_in_era(directory, 1, 90, ready)
+    apply_in_era(directory, 1, 91, draining)
+    assert apply_in_era(directory, 2, 50, ready) == ()
+    assert apply_in_era(directory, 2, 51, ready, build_endpoint(2))
+    assert directory.endpoints[ready.instance] == draining
+    # What the endpoint writes itself counts again.
+    again = build_endpoint(1, sequence=8)
+    changes = apply_in_era(directory, 2, 52, again, build_endpoint(2))
+    assert list_kinds(changes) == [ChangeKind.READY]
+
+
+def test_copy_of_a_restored_store_brings_no_removed_endpoint_back():
+    """Guards against new flows to an endpoint that has left."""
+    directory = EndpointDirectory(LIFETIME)
+    ready = build_endpoint(1, sequence=1)
+    apply_in_era(directory, 1, 90, build_endpoint(1, sequence=7))
+    apply_in_era(directory, 1, 91)
+    assert apply_in_era(directory, 2, 50, ready) == ()
+    assert list_available_endpoints(directory, 'web') == ()
+    restarted = build_endpoint(1, started_at_ms=2)
+    assert list_kinds(apply_in_era(directory, 2, 51, restarted)) == [
+        ChangeKind.ADDED
+    ]
+
+
+def test_expiry_of_missing_endpoints_keeps_what_the_copy_must_not_undo():
+    """Guards against a drain that is undone when another endpoint expires."""
+    directory = EndpointDirectory(LIFETIME)
+    draining = build_endpoint(1, sequence=7, is_draining=True)
+    apply_in_era(directory, 1, 90, draining, build_endpoint(2))
+    apply_in_era(directory, 2, 50, build_endpoint(1))
+    assert expire_missing(directory, MISSING_RETENTION_SECONDS + 0.1)
+    apply_in_era(directory, 2, 51, build_endpoint(1), build_endpoint(3), now=3)
+    assert directory.endpoints[draining.instance] == draining
+
+
+def test_endpoint_that_a_restored_store_lacks_is_retained():
+    """Guards against callers that are refused until the endpoint has written
+    its entry again, after an outage that no read has met."""
+    directory = EndpointDirectory(LIFETIME)
+    endpoint = build_endpoint(1)
+    apply_in_era(directory, 1, 90, endpoint)
+    assert apply_in_era(directory, 2, 50) == ()
+    assert list_available_endpoints(directory, 'web') == (endpoint,)
+    assert expire_missing(directory, MISSING_RETENTION_SECONDS + 0.1)
