Compare revisions of the store by era

Cause: a store that comes back from an older copy gives its revisions out again. Lower ones were ignored, and equal ones counted as the view before. Change: the header Store-Era stands before the number in each revision, so a later era is newer than all before; logs show era.number and store_restored.

--- a/balsamshed/edge/explanations.py
+++ b/balsamshed/edge/explanations.py
@@ -11,6 +11,7 @@
     ResetFlow,
 )
 from balsamshed.store.polling import get_view_age
+from balsamshed.store.revisions import format_revision
 
 
 def explain_opening(
@@ -67,6 +68,6 @@
 def _describe_view(edge: Edge, now: float) -> Mapping[str, object]:
     return {
         'version': edge.steering.routes.version,
-        'revision': edge.reads.revision,
+        'revision': format_revision(edge.reads.revision),
         'age_seconds': round(get_view_age(edge.reads, now), 3),
     }
--- a/balsamshed/edge/summaries.py
+++ b/balsamshed/edge/summaries.py
@@ -5,6 +5,7 @@
 from balsamshed.edge.state import Edge
 from balsamshed.endpoints.endpoint import Endpoint
 from balsamshed.store.polling import get_view_age
+from balsamshed.store.revisions import format_revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,8 +56,8 @@
         Version of the configuration in force; -1 without one.
     version_seconds : float or None
         Time since that version came into force.
-    revision : int
-        Store revision of its view; -1 without a view.
+    revision : str
+        Store revision of its view, with the store's era; -1 without a view.
     age_seconds : float or None
         Time since the store confirmed the view; None without a confirmation.
     routes : int
@@ -72,7 +73,7 @@
     is_ready: bool
     version: int
     version_seconds: float | None
-    revision: int
+    revision: str
     age_seconds: float | None
     routes: int
     endpoints: tuple[EndpointSummary, ...]
@@ -104,7 +105,7 @@
         is_ready=edge.has_been_ready and edge.stop_requested_at is None,
         version=routes.version,
         version_seconds=None if since is None else now - since,
-        revision=edge.reads.revision,
+        revision=format_revision(edge.reads.revision),
         age_seconds=get_view_age(edge.reads, now) if has_age else None,
         routes=len(routes.routes),
         endpoints=tuple(sorted(endpoints, key=_get_sort_key)),
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -50,6 +50,7 @@
     had_recent_outage,
     set_pending_revision,
 )
+from balsamshed.store.revisions import format_revision, get_era
 
 #: Revision of a balancer without a view; the answer to it is a whole view.
 NO_REVISION: Final = -1
@@ -226,9 +227,9 @@
     edge.needs_whole_view = True
     fields = {
         'reason': 'changes_do_not_match',
-        'base_revision': changes.base_revision,
-        'revision': changes.revision,
-        'own_revision': edge.history.revision,
+        'base_revision': format_revision(changes.base_revision),
+        'revision': format_revision(changes.revision),
+        'own_revision': format_revision(edge.history.revision),
     }
     mismatch = LogEvent('peer_view_failed', fields)
     return [mismatch, *_fetch_newer_view(edge, now)]
@@ -256,7 +257,8 @@
 
 def _finish_store_read(edge: Edge) -> list[EdgeEffect]:
     if finish_read(edge.reads):
-        return [LogEvent('store_regained', {'revision': edge.reads.revision})]
+        revision = format_revision(edge.reads.revision)
+        return [LogEvent('store_regained', {'revision': revision})]
     return []
 
 
@@ -279,6 +281,7 @@
     now: float,
 ) -> list[EdgeEffect]:
     steering = edge.steering
+    former_revision = edge.history.revision
     record_view(edge.history, view)
     changes = apply_view(
         steering.directory,
@@ -286,7 +289,10 @@
         now,
         retain_missing=had_recent_outage(edge.reads, now),
     )
-    return apply_endpoint_changes(steering, changes, now)
+    effects = apply_endpoint_changes(steering, changes, now)
+    if 0 <= get_era(former_revision) < get_era(view.revision):
+        effects.append(_describe_restored(edge, former_revision))
+    return effects
 
 
 def _apply_routes(
@@ -320,6 +326,21 @@
         )
 
 
+def _describe_restored(edge: Edge, former_revision: int) -> LogEvent:
+    """Describe that the store has come back from an older copy."""
+    directory = edge.steering.directory
+    return LogEvent(
+        'store_restored',
+        {
+            'revision': format_revision(directory.revision),
+            'former_revision': format_revision(former_revision),
+            'outdated_entries': len(directory.outdated),
+            'missing_entries': len(directory.missing_since),
+            'version': edge.steering.routes.version,
+        },
+    )
+
+
 def _describe_change(change: EndpointChange, revision: int) -> LogEvent:
     endpoint = change.endpoint
     return LogEvent(
@@ -331,7 +352,7 @@
             'address': f'{endpoint.host}:{endpoint.port}',
             'data_centre': endpoint.data_centre,
             'sequence': endpoint.sequence,
-            'revision': revision,
+            'revision': format_revision(revision),
         },
     )
 
--- a/balsamshed/front_ends/edge_metrics.py
+++ b/balsamshed/front_ends/edge_metrics.py
@@ -8,6 +8,7 @@
 from balsamshed.front_ends.edge_context import EdgeProcess, read_clock
 from balsamshed.placement.in_flight import is_suspected
 from balsamshed.store.polling import get_view_age
+from balsamshed.store.revisions import get_era, get_number
 
 #: Upper bounds of the histogram buckets, from the duration of one packet to
 #: that of a store call without a response.
@@ -91,7 +92,8 @@
         'is_ready': int(edge.has_been_ready and edge.stop_requested_at is None),
         'routes_version': steering.routes.version,
         'routes': len(steering.routes.routes),
-        'store_revision': edge.reads.revision,
+        'store_revision': get_number(edge.reads.revision),
+        'store_era': get_era(edge.reads.revision),
         'view_age_seconds': get_view_age(edge.reads, now),
         'peers': sum(
             peer.report is not None for peer in edge.peer_table.peers.values()
--- a/balsamshed/front_ends/edge_peers.py
+++ b/balsamshed/front_ends/edge_peers.py
@@ -52,7 +52,7 @@
 
 _OK: Final = 200
 _VIEW_TARGET: Final = re.compile(
-    rf'{VIEW_PATH}/(-1|[0-9]{{1,18}})/(-1|[0-9]{{1,18}})'
+    rf'{VIEW_PATH}/(-1|[0-9]{{1,19}})/(-1|[0-9]{{1,18}})'
 )
 
 
--- a/balsamshed/front_ends/edge_store.py
+++ b/balsamshed/front_ends/edge_store.py
@@ -20,6 +20,7 @@
 from balsamshed.front_ends.http_session import HttpFailure
 from balsamshed.front_ends.source_reader import SourceListing, read_source
 from balsamshed.store.polling import Source
+from balsamshed.store.revisions import format_revision
 
 
 def read_store(process: EdgeProcess, effect: ReadSource) -> None:
@@ -85,7 +86,7 @@
             lambda: {
                 'count': len(rejected),
                 'first': ''.join(rejected[:1]),
-                'revision': view.revision,
+                'revision': format_revision(view.revision),
             },
         )
     return handle_endpoints(process.edge, view, now)
--- a/balsamshed/front_ends/http_session.py
+++ b/balsamshed/front_ends/http_session.py
@@ -10,7 +10,7 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Final
@@ -39,10 +39,13 @@
         Status code.
     body : bytes
         Response body.
+    headers : mapping of str to str
+        Headers by name in lower case.
     """
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = field(default_factory=dict, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,6 +217,7 @@
         self._request = request
         self._parser = HttpResponseParser(self)
         self._body: list[bytes] = []
+        self._headers: dict[str, str] = {}
         self._transport: Transport | None = None
 
     def connection_made(self, transport: Transport) -> None:
@@ -237,6 +241,9 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def on_header(self, name: bytes, text: bytes) -> None:
+        self._headers[name.decode('latin-1').lower()] = text.decode('latin-1')
+
     def on_body(self, body: bytes) -> None:
         self._body.append(body)
 
@@ -244,5 +251,6 @@
         response = HttpResponse(
             self._parser.get_status_code(),
             b''.join(self._body),
+            self._headers,
         )
         self._session.finish_request(self, response)
--- a/balsamshed/front_ends/source_reader.py
+++ b/balsamshed/front_ends/source_reader.py
@@ -1,6 +1,6 @@
 """Reads complete lists of objects from the store, page by page."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -27,7 +27,7 @@
     items : tuple of object
         Decoded objects.
     revision : int
-        Store revision of the page.
+        Store revision of the page, with its era; see `combine_revision`.
     next_after : str
         Name after which the next page starts; empty on the last page.
     """
@@ -65,11 +65,12 @@
     format_path : callable
         Returns the path of the page that starts after a name, for an effect.
     decode_page : callable
-        Decodes a response body; returns None if it is malformed.
+        Decodes the body and the headers of a response; returns None if they
+        are malformed.
     """
 
     format_path: Callable[[ReadSource, str], str]
-    decode_page: Callable[[bytes], ListPage | None]
+    decode_page: Callable[[bytes, Mapping[str, str]], ListPage | None]
 
 
 #: Handles all pages of a source, or the failure to read them.
@@ -132,5 +133,5 @@
         return outcome
     if outcome.status != _OK:
         return HttpFailure(f'status_{outcome.status}')
-    page = store_format.decode_page(outcome.body)
+    page = store_format.decode_page(outcome.body, outcome.headers)
     return HttpFailure('malformed') if page is None else page
--- a/balsamshed/front_ends/tests/test_edge_errors.py
+++ b/balsamshed/front_ends/tests/test_edge_errors.py
@@ -49,7 +49,8 @@
     functions = dict.fromkeys(WireFormat.__dataclass_fields__)
     functions.update(
         store_format=StoreFormat(
-            lambda effect, after: '/', lambda body: ListPage((), 1, '')
+            lambda effect, after: '/',
+            lambda body, _headers: ListPage((), 1, ''),
         ),
         decode_endpoints=decode_one_endpoint,
     )
@@ -132,7 +133,8 @@
     monkeypatch.setattr('balsamshed.front_ends.source_reader.MAX_PAGES', 3)
     process = build_process(
         store_format=StoreFormat(
-            lambda effect, after: '/', lambda body: ListPage((), 1, 'next')
+            lambda effect, after: '/',
+            lambda body, _headers: ListPage((), 1, 'next'),
         ),
     )
     start_read(process.edge.reads, 0)
--- a/balsamshed/platform/listing.py
+++ b/balsamshed/platform/listing.py
@@ -8,7 +8,16 @@
 from balsamshed.edge.effects import ReadSource
 from balsamshed.front_ends.source_reader import ListPage
 from balsamshed.store.polling import Source
-
+from balsamshed.store.revisions import (
+    MAX_ERA,
+    MAX_NUMBER,
+    combine_revision,
+)
+
+#: Header that tells how often the store has come back from an older copy.
+_ERA_HEADER: Final = 'store-era'
+_NO_HEADERS: Final[Mapping[str, str]] = {}
+_DIGITS: Final = re.compile('[0-9]{1,18}')
 _PLAIN_NAME: Final = re.compile('[A-Za-z0-9._-]+')
 #: Kind of object that each source lists. The last kind has no objects: its
 #: list is requested only for the store's revision.
@@ -32,8 +41,19 @@
     return f'{path}?{query}' if query else path
 
 
-def decode_page(body: bytes) -> ListPage | None:
-    """Decode the response to a list request; None if it is malformed."""
+def decode_page(
+    body: bytes, headers: Mapping[str, str] = _NO_HEADERS
+) -> ListPage | None:
+    """Decode the response to a list request; None if it is malformed.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON document.
+    headers : mapping of str to str
+        Headers by name in lower case. A store without eras names none.
+    """
+    era = _decode_era(headers.get(_ERA_HEADER, '0'))
     content = _decode_json_object(body)
     if content is None:
         return None
@@ -41,12 +61,15 @@
     items, revision = content.get('items'), content.get('currentRev')
     if not isinstance(items, list) or not isinstance(revision, int):
         return None
+    if era is None or not 0 <= revision <= MAX_NUMBER:
+        return None
     next_after = ''
     if content.get('hasMore') is True:
         next_after = get_object_name(items[-1]) if items else ''
         if not next_after:
             # Without the rest of the list, its objects would count as gone.
             return None
+    revision = combine_revision(era, revision)
     return ListPage(tuple(items), revision, next_after)
 
 
@@ -64,6 +87,14 @@
     return revision if isinstance(revision, int) else -1
 
 
+def _decode_era(text: str) -> int | None:
+    """Return the era of a response; None if it is malformed."""
+    if not _DIGITS.fullmatch(text):
+        return None
+    era = int(text)
+    return era if era <= MAX_ERA else None
+
+
 def _quote(name: str) -> str:
     if _PLAIN_NAME.fullmatch(name):
         return name
--- a/balsamshed/platform/tests/test_listing.py
+++ b/balsamshed/platform/tests/test_listing.py
@@ -1,5 +1,7 @@
 """Tests of list requests to the platform's store."""
 
+import json
+
 import pytest
 
 from balsamshed.edge.effects import ReadSource
@@ -11,6 +13,7 @@
 )
 from balsamshed.platform.wire import decode_configuration, decode_endpoints
 from balsamshed.store.polling import Source
+from balsamshed.store.revisions import MAX_NUMBER, format_revision
 
 
 def test_list_paths():
@@ -113,3 +116,28 @@
     """Guards against an invalid entry that accounts for a change of routes."""
     view, _ = decode_endpoints(SourceListing(tuple(entries), 9, 9))
     assert view.change_revisions == expected
+
+
+def test_revision_of_a_later_era_is_newer_than_all_before():
+    """Guards against changes that are ignored because a store that came back
+    from an older copy gives its revisions out again."""
+    before = decode_page(b'{"items":[],"currentRev":900}', {'store-era': '1'})
+    after = decode_page(b'{"items":[],"currentRev":3}', {'store-era': '2'})
+    assert before.revision < after.revision
+    assert format_revision(after.revision) == '2.3'
+    # A store without eras.
+    assert decode_page(b'{"items":[],"currentRev":3}').revision == 3
+
+
+@pytest.mark.parametrize('era', ['', '-1', 'x', '1.5', '9' * 18, '1' * 5000])
+def test_response_with_an_unreadable_era_is_rejected(era):
+    """Guards against a revision that is newer than all others for ever."""
+    page = b'{"items":[],"currentRev":900}'
+    assert decode_page(page, {'store-era': era}) is None
+
+
+@pytest.mark.parametrize('revision', [-1, MAX_NUMBER + 1])
+def test_revision_out_of_range_is_rejected(revision):
+    """Guards against a revision that reaches into the bits of the era."""
+    body = json.dumps({'items': [], 'currentRev': revision}).encode()
+    assert decode_page(body) is None
--- a/balsamshed/platform/wire.py
+++ b/balsamshed/platform/wire.py
@@ -25,6 +25,7 @@
     get_caller_address,
 )
 from balsamshed.routes.table import RouteTable
+from balsamshed.store.revisions import combine_revision, get_era
 
 READY_PATH: Final = '/v1/ready'
 #: Name of the object that holds the configuration.
@@ -56,9 +57,11 @@
     endpoints: list[Endpoint] = []
     rejected: list[str] = []
     change_revisions: set[int] = set()
+    era = get_era(listing.revision)
     for item in listing.items:
         entry = decode_endpoint(item)
-        change_revisions.add(get_object_revision(item))
+        number = get_object_revision(item)
+        change_revisions.add(combine_revision(era, number))
         if isinstance(entry, EntryRejection):
             rejected.append(f'{entry.name}:{entry.field}')
         else:
