Count a first view as old as its routes

Cause: the first view may be stale; its revision was that of its endpoints, although another replica could return older routes. A peer's report of that revision confirmed it, and the older version stayed in force until the next change of the store. Change: the lower revision of both counts, so reports and reads bring the rest. Result: test_stale_routes_do_not_count_as_those_of_newer_endpoints failed before (no fetch); tests of edge, front_ends and store pass.

--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -1,5 +1,7 @@
 """Tests of updates from views of the store and of peers."""
 
+from dataclasses import replace
+
 from balsamshed.edge.effects import (
     AcceptPackets,
     DiscardPackets,
@@ -297,6 +299,26 @@
     assert accepts_traffic(edge)
 
 
+def test_stale_routes_do_not_count_as_those_of_newer_endpoints():
+    """Guards against an older version that counts as current: the replica
+    that lists the routes may lag more than the one that lists endpoints."""
+    edge = build_edge()
+    start_read(edge.reads, 0)
+    handle_endpoints(edge, build_view(9, build_endpoint(1)), 0)
+    handle_routes(edge, build_table(1), 0, revision=7)
+    assert accepts_traffic(edge)
+    report = PeerReport('a', 9, 0.1, (), ())
+    effects = tick_and_report(edge, '10.9.0.2', report, 0.1)
+    assert list_fetches(effects)
+    assert get_view_age(edge.reads, 0.1) == float('inf')
+    start_read(edge.reads, 0.4)
+    handle_revision(edge, 9)
+    view = replace(
+        build_view(9, build_endpoint(1)), change_revisions=frozenset((9,))
+    )
+    assert ReadSource(Source.ROUTES) in handle_endpoints(edge, view, 0.4)
+
+
 def count_accepts(effects):
     return sum(isinstance(effect, AcceptPackets) for effect in effects)
 
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -48,6 +48,7 @@
     finish_read,
     get_view_age,
     had_recent_outage,
+    lower_pending_revision,
     set_pending_revision,
 )
 from balsamshed.store.revisions import format_revision, get_era
@@ -92,9 +93,24 @@
     edge: Edge,
     table: RouteTable,
     now: float,
+    revision: int | None = None,
 ) -> list[EdgeEffect]:
-    """Apply the routes of the store, unless they are older."""
+    """Apply the routes of the store, unless they are older.
+
+    Parameters
+    ----------
+    edge : Edge
+        State of this balancer.
+    table : RouteTable
+        Routes that the store lists.
+    now : float
+        Seconds of the balancer's clock.
+    revision : int or None
+        Store revision of the list; None if it is that of the endpoints.
+    """
     effects = _apply_routes(edge, table, now)
+    if revision is not None:
+        lower_pending_revision(edge.reads, revision)
     effects.extend(_finish_store_read(edge))
     return effects + _update_readiness(edge, now)
 
--- a/balsamshed/front_ends/edge_store.py
+++ b/balsamshed/front_ends/edge_store.py
@@ -100,4 +100,4 @@
     table = process.wire.decode_routes(listing)
     if isinstance(table, str):
         return handle_read_failed(process.edge, Source.ROUTES, table, now)
-    return handle_routes(process.edge, table, now)
+    return handle_routes(process.edge, table, now, listing.revision)
--- a/balsamshed/store/polling.py
+++ b/balsamshed/store/polling.py
@@ -166,6 +166,15 @@
     return revision != state.revision
 
 
+def lower_pending_revision(state: ReadState, revision: int) -> None:
+    """Record that a part of the read in progress may be older.
+
+    Replicas lag differently: the routes that one returns may be older than
+    the endpoints that another has returned before.
+    """
+    state.pending_revision = min(state.pending_revision, revision)
+
+
 def finish_read(state: ReadState) -> bool:
     """Record the successful end of a read.
 
