--- a/testbed/edge_site.py
+++ b/testbed/edge_site.py
@@ -198,6 +198,14 @@
         text = (self.folder / f'edge-{number}.log').read_text()
         return [parse_line(line) for line in text.splitlines()]
 
+    def list_versions(self, number: int) -> list[int]:
+        """Return the versions that a balancer has put in force."""
+        return [
+            int(event['version'])
+            for event in self.read_events(number)
+            if event['event'] == 'routes_changed'
+        ]
+
     def send_packet(self, host: str, packet: bytes) -> None:
         """Send a packet from the callers' port to a balancer."""
         self.caller_socket.sendto(packet, (host, self.packet_port))
--- a/testbed/tests/test_large_configuration.py
+++ b/testbed/tests/test_large_configuration.py
@@ -27,15 +27,6 @@
 FIRST_PORT = 2000
 
 
-def list_versions(site, number):
-    """Return the versions that a balancer has put in force."""
-    return [
-        int(event['version'])
-        for event in site.read_events(number)
-        if event['event'] == 'routes_changed'
-    ]
-
-
 async def start_behind_small_links(site):
     """Start balancers that reach the store through links of a small VM."""
     await site.start_store()
@@ -58,7 +49,7 @@
     written_at = time.monotonic()
     for number in BALANCERS:
         await wait_until(
-            lambda number=number: 2 in list_versions(site, number),
+            lambda number=number: 2 in site.list_versions(number),
             f'version 2 on balancer {number}',
         )
     assert time.monotonic() - written_at < IN_FORCE_SECONDS
@@ -91,7 +82,7 @@
         )
     assert site.store.calls_by_kind['config'] == calls
     site.write_configuration(2)
-    await wait_until(lambda: 2 in list_versions(site, 1), 'version 2')
+    await wait_until(lambda: 2 in site.list_versions(1), 'version 2')
 
 
 def test_unchanged_configuration_is_not_read_with_each_change(tmp_path):
--- a/testbed/tests/test_restored_store.py
+++ b/testbed/tests/test_restored_store.py
@@ -16,15 +16,6 @@
 EXTRA_PORT = 8080
 
 
-def list_versions(site, number):
-    """Return the versions that a balancer has put in force."""
-    return [
-        int(event['version'])
-        for event in site.read_events(number)
-        if event['event'] == 'routes_changed'
-    ]
-
-
 async def start_site(site):
     """Start the store, three endpoints and two balancers."""
     await site.start_store()
@@ -70,7 +61,7 @@
     site.write_entry(2, 'draining', sequence=8)
     site.write_configuration(2, EXTRA_PORT)
     await asyncio.sleep(IN_FORCE_SECONDS)
-    assert [list_versions(site, number)[-1] for number in BALANCERS] == [2, 2]
+    assert [site.list_versions(number)[-1] for number in BALANCERS] == [2, 2]
     assert await list_openings(site, 6000) == {1, 3}
 
 
@@ -95,7 +86,7 @@
         lambda: site.write_configuration(2),
     )
     await asyncio.sleep(IN_FORCE_SECONDS)
-    assert [list_versions(site, number)[-1] for number in BALANCERS] == [2, 2]
+    assert [site.list_versions(number)[-1] for number in BALANCERS] == [2, 2]
     assert await list_openings(site, 6000) == {1, 3}
 
 
@@ -120,7 +111,7 @@
     await asyncio.sleep(IN_FORCE_SECONDS)
     assert await list_openings(site, 6000) == {1, 3}
     for number in BALANCERS:
-        assert list_versions(site, number)[-1] == 2
+        assert site.list_versions(number)[-1] == 2
     # What the endpoint writes itself counts again.
     site.write_entry(2, sequence=6)
     await asyncio.sleep(IN_FORCE_SECONDS)
@@ -163,7 +154,7 @@
     host = site.start_balancer(3)
     await wait_until(lambda: site.is_ready(host), 'ready')
     await asyncio.sleep(IN_FORCE_SECONDS)
-    assert list_versions(site, 3)[-1] == 2
+    assert site.list_versions(3)[-1] == 2
 
 
 def test_balancer_that_starts_from_a_restored_store_learns_newer_routes(
