--- a/testbed/metadata_store.py
+++ b/testbed/metadata_store.py
@@ -34,10 +34,13 @@
         Revision of the store when the snapshot was taken.
     objects_by_kind : dict
         Objects by kind and name.
+    era : int
+        Era of the store when the snapshot was taken.
     """
 
     revision: int
     objects_by_kind: dict[str, dict[str, Any]]
+    era: int
 
 
 @dataclass(slots=True)
@@ -96,7 +99,7 @@
     objects_by_kind = {
         kind: dict(objects) for kind, objects in store.objects_by_kind.items()
     }
-    return Snapshot(store.revision, objects_by_kind)
+    return Snapshot(store.revision, objects_by_kind, store.era)
 
 
 def restore_snapshot(store: MetadataStore, snapshot: Snapshot) -> None:
@@ -135,7 +138,7 @@
         200,
         json.dumps(body).encode(),
         'application/json',
-        (('Store-Era', str(store.era)),),
+        (('Store-Era', str(source.era)),),
     )
 
 
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -35,7 +35,11 @@
     get_host,
     open_site,
 )
-from testbed.metadata_store import delete_object, take_snapshot
+from testbed.metadata_store import (
+    delete_object,
+    restore_snapshot,
+    take_snapshot,
+)
 from testbed.soak_oracle import (
     Delivery,
     FaultHistory,
@@ -70,6 +74,13 @@
 ENTRY_LIFETIME_SECONDS: Final = 2.4
 #: Share of the flows that use the extra route.
 EXTRA_ROUTE_SHARE: Final = 0.1
+#: Sequence numbers of an endpoint's entry: at first, when it drains, and when
+#: it writes again what a restored store has lost.
+READY_SEQUENCE: Final = 1
+DRAINING_SEQUENCE: Final = 2
+REWRITTEN_SEQUENCE: Final = 3
+#: Time in which operator and endpoints write again what the store has lost.
+REWRITE_SECONDS: Final = 1
 _FIRST_FLOW: Final = 20000
 _OK: Final = 200
 
@@ -122,6 +133,7 @@
         self.cookies: dict[int, int] = {}
         self.outcomes: list[FlowOutcome] = []
         self.version = 1
+        self.extra_ports: tuple[int, ...] = ()
         self.next_flow = _FIRST_FLOW
         self.active_outages = 0
 
@@ -145,7 +157,23 @@
     return tuple(sorted(faults, key=lambda fault: fault.starts_at))
 
 
-async def run_seed(seed: int, seconds: float, folder: Path) -> SeedResult:
+def plan_restores(random: Random, seconds: float) -> tuple[ScheduledFault, ...]:
+    """Return a random schedule of returns of the store from an older copy."""
+    faults = [
+        ScheduledFault(
+            random.uniform(1, seconds),
+            RESTORE_KIND,
+            1,
+            random.uniform(0.5, 4),
+        )
+        for _ in range(random.randint(1, 2))
+    ]
+    return tuple(sorted(faults, key=lambda fault: fault.starts_at))
+
+
+async def run_seed(
+    seed: int, seconds: float, folder: Path, *, restores_store: bool = False
+) -> SeedResult:
     """Run the schedule of one seed.
 
     Parameters
@@ -156,6 +184,9 @@
         Time within which all faults start.
     folder : Path
         Folder for settings and logs.
+    restores_store : bool
+        Whether the store also comes back from older copies. The other faults
+        of a seed stay the same.
 
     Returns
     -------
@@ -164,6 +195,8 @@
     """
     random = Random(seed)
     faults = plan_faults(random, seconds)
+    if restores_store:
+        faults += plan_restores(Random(seed), seconds)
     return await run_schedule(seed, faults, random, folder)
 
 
@@ -344,7 +377,8 @@
 
 async def _inject_fault(soak: SoakRun, fault: ScheduledFault) -> None:
     await asyncio.sleep(max(0, fault.starts_at - soak.now()))
-    await _FAULT_INJECTORS[fault.kind](soak, fault)
+    injectors = {**_FAULT_INJECTORS, RESTORE_KIND: _restore_store}
+    await injectors[fault.kind](soak, fault)
 
 
 async def _kill_balancer(soak: SoakRun, fault: ScheduledFault) -> None:
@@ -457,21 +491,45 @@
         number not in soak.draining_since
         and soak.site.store.response_status == _OK
     ):
-        soak.site.write_entry(number, 'draining')
+        soak.site.write_entry(number, 'draining', DRAINING_SEQUENCE)
         soak.draining_since[number] = soak.now()
 
 
 async def _change_routes(soak: SoakRun, fault: ScheduledFault) -> None:
     """Add the extra route, and remove it when the fault ends."""
     soak.version += soak.random.randint(1, 5)
-    soak.site.write_configuration(soak.version, EXTRA_ROUTE_PORT)
+    soak.extra_ports = (EXTRA_ROUTE_PORT,)
+    soak.site.write_configuration(soak.version, *soak.extra_ports)
     soak.route_removed_at.pop(EXTRA_ROUTE_PORT, None)
     await asyncio.sleep(fault.duration_seconds)
     soak.version += 1
+    soak.extra_ports = ()
     soak.site.write_configuration(soak.version)
     soak.route_removed_at[EXTRA_ROUTE_PORT] = soak.now()
 
 
+async def _restore_store(soak: SoakRun, fault: ScheduledFault) -> None:
+    """Let the store come back without what was written for a time."""
+    site = soak.site
+    copy = take_snapshot(site.store)
+    await asyncio.sleep(fault.duration_seconds)
+    begin = soak.now()
+    _begin_outage(soak, 503)
+    await asyncio.sleep(0.2)
+    restore_snapshot(site.store, copy)
+    _end_outage(soak)
+    while soak.active_outages:
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(soak.random.uniform(0, REWRITE_SECONDS))
+    site.write_configuration(soak.version, *soak.extra_ports)
+    for number in site.endpoints:
+        state = 'draining' if number in soak.draining_since else 'ready'
+        site.write_entry(number, state, REWRITTEN_SEQUENCE)
+    soak.fault_intervals.append((begin, soak.now(), 0))
+
+
+#: Kind of the faults of `plan_restores`.
+RESTORE_KIND: Final = 'restore_store'
 _FAULT_INJECTORS: Final = {
     'change_routes': _change_routes,
     'drain': _drain_endpoint,
@@ -514,6 +572,7 @@
     seconds: float = 10,
     report: str = '',
     shrink_failing: bool = False,
+    restores_store: bool = False,
 ) -> int:
     """Run seeds and keep the logs of those that fail.
 
@@ -529,6 +588,8 @@
         HTML file for the charts of all runs.
     shrink_failing
         Whether to remove the faults that a failing seed does not need.
+    restores_store
+        Whether the store also comes back from older copies.
 
     Returns
     -------
@@ -540,7 +601,9 @@
         range(first, first + seeds), console=Console(stderr=True)
     ):
         folder = Path(mkdtemp(prefix=f'soak-{seed}-'))
-        result = asyncio.run(run_seed(seed, seconds, folder))
+        result = asyncio.run(
+            run_seed(seed, seconds, folder, restores_store=restores_store)
+        )
         results.append(result)
         failed = sum(bool(run.violations) for run in results)
         _print_line(
--- a/testbed/tests/test_soak.py
+++ b/testbed/tests/test_soak.py
@@ -35,6 +35,14 @@
     assert result.violations == ()
 
 
+@pytest.mark.parametrize('seed', [601, 602])
+def test_short_run_with_a_restored_store_has_no_violations(seed, tmp_path):
+    """Guards against drains and routes that are lost, or ignored, when the
+    store comes back from an older copy beside other faults."""
+    result = asyncio.run(run_seed(seed, 8, tmp_path, restores_store=True))
+    assert result.violations == ()
+
+
 def test_seed_determines_the_schedule():
     """Guards against a failing schedule that cannot be reproduced."""
     assert plan_faults(Random(7), 10) == plan_faults(Random(7), 10)
