--- a/balsamshed/edge/tests/test_packets.py
+++ b/balsamshed/edge/tests/test_packets.py
@@ -15,7 +15,10 @@
     build_table,
     build_view,
 )
-from balsamshed.edge.views import handle_endpoints, handle_routes
+from balsamshed.edge.views import (
+    handle_endpoints,
+    handle_routes,
+)
 from balsamshed.steering.packets import DropPacket, ForwardFlow, PacketKind
 from balsamshed.store.polling import start_read
 
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -10,6 +10,11 @@
     ReadSource,
 )
 from balsamshed.edge.lifecycle import handle_tick
+from balsamshed.edge.peer_views import (
+    create_view_for_peer,
+    handle_peer_view,
+    handle_report,
+)
 from balsamshed.edge.state import accepts_traffic
 from balsamshed.edge.tests.builders import (
     build_edge,
@@ -18,11 +23,8 @@
     build_view,
 )
 from balsamshed.edge.views import (
-    create_view_for_peer,
     handle_endpoints,
-    handle_peer_view,
     handle_read_failed,
-    handle_report,
     handle_revision,
     handle_routes,
 )
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -1,4 +1,4 @@
-"""Updates of an edge balancer from views of the store and of peers."""
+"""Updates of an edge balancer from views of the store."""
 
 from collections.abc import Iterable
 from typing import Final
@@ -6,11 +6,10 @@
 from balsamshed.edge.effects import (
     AcceptPackets,
     EdgeEffect,
-    FetchView,
     LogEvent,
     ReadSource,
 )
-from balsamshed.edge.state import Edge, detect_pause
+from balsamshed.edge.state import Edge
 from balsamshed.endpoints.directory import (
     ChangeKind,
     EndpointChange,
@@ -18,19 +17,9 @@
     apply_view,
 )
 from balsamshed.endpoints.history import (
-    EndpointChanges,
     explains_all_changes,
-    list_changes,
-    merge_changes,
     record_view,
 )
-from balsamshed.peers.report import PeerReport
-from balsamshed.peers.table import (
-    has_newer_view,
-    list_peers_with_newer_view,
-    record_report,
-)
-from balsamshed.peers.view import StoreView
 from balsamshed.placement.in_flight import forget_endpoint
 from balsamshed.routes.table import RouteTable
 from balsamshed.steering.decisions import (
@@ -41,9 +30,7 @@
 )
 from balsamshed.store.polling import (
     Source,
-    apply_peer_revision,
     compute_backoff,
-    confirm_revision,
     fail_read,
     finish_read,
     get_view_age,
@@ -53,9 +40,6 @@
 )
 from balsamshed.store.revisions import format_revision, get_era
 
-#: Revision of a balancer without a view; the answer to it is a whole view.
-NO_REVISION: Final = -1
-
 _RESET_KINDS: Final = frozenset(
     (ChangeKind.ADDED, ChangeKind.RESTARTED, ChangeKind.REMOVED),
 )
@@ -81,12 +65,12 @@
     """
     known_revision = edge.reads.revision
     has_same_routes = explains_all_changes(edge.history, view, known_revision)
-    effects = _apply_endpoints(edge, view, now)
+    effects = apply_endpoints(edge, view, now)
     if set_pending_revision(edge.reads, view.revision) and not has_same_routes:
         effects.append(ReadSource(Source.ROUTES, edge.reads.may_be_stale))
     else:
         effects.extend(_finish_store_read(edge))
-    return effects + _update_readiness(edge, now)
+    return effects + update_readiness(edge, now)
 
 
 def handle_routes(
@@ -108,11 +92,11 @@
     revision : int or None
         Store revision of the list; None if it is that of the endpoints.
     """
-    effects = _apply_routes(edge, table, now)
+    effects = apply_routes(edge, table, now)
     if revision is not None:
         lower_pending_revision(edge.reads, revision)
     effects.extend(_finish_store_read(edge))
-    return effects + _update_readiness(edge, now)
+    return effects + update_readiness(edge, now)
 
 
 def handle_read_failed(
@@ -143,134 +127,6 @@
     return [LogEvent('store_lost', fields)]
 
 
-def handle_report(
-    edge: Edge,
-    host: str,
-    report: PeerReport,
-    now: float,
-) -> list[EdgeEffect]:
-    """Apply a peer's report, and fetch its view if it is newer."""
-    effects: list[EdgeEffect] = []
-    if record_report(edge.peer_table, host, report, now):
-        effects.append(
-            LogEvent(
-                'peer_found',
-                {'peer': host, 'data_centre': report.data_centre},
-            ),
-        )
-    detect_pause(edge, now)
-    if now < edge.stale_reports_until:
-        # The reported age may lack the time that the report was queued.
-        return effects
-    version = edge.steering.routes.version
-    if report.version <= version:
-        confirm_revision(edge.reads, report.revision, now - report.age_seconds)
-    can_fetch = edge.fetch_started_at is None and now >= edge.fetch_retry_at
-    if can_fetch and has_newer_view(report, edge.reads.revision, version):
-        effects.extend(_fetch_newer_view(edge, now))
-    return effects
-
-
-def handle_peer_view(
-    edge: Edge,
-    view: StoreView,
-    now: float,
-) -> list[EdgeEffect]:
-    """Apply what is newer of a peer's view of the store."""
-    endpoints = view.endpoints
-    effects: list[EdgeEffect] = []
-    if view.routes is not None:
-        effects.extend(_apply_routes(edge, view.routes, now))
-    if endpoints.revision <= edge.reads.revision:
-        if not effects:
-            # The peer has restarted, or its report was older than its view.
-            return handle_read_failed(
-                edge, Source.PEER_VIEW, 'nothing_newer', now
-            )
-        _end_fetch(edge)
-        return effects + _update_readiness(edge, now)
-    _end_fetch(edge)
-    if isinstance(endpoints, EndpointChanges):
-        merged = merge_changes(edge.history, endpoints)
-        if merged is None:
-            return effects + _fetch_whole_view(edge, endpoints, now)
-        endpoints = merged
-    edge.needs_whole_view = False
-    effects.extend(_apply_endpoints(edge, endpoints, now))
-    # The view counts as confirmed once a report shows the same revision;
-    # without one, the store is read.
-    apply_peer_revision(edge.reads, endpoints.revision, now)
-    return effects + _update_readiness(edge, now)
-
-
-def create_view_for_peer(
-    edge: Edge, revision: int = NO_REVISION, version: int = -1
-) -> StoreView:
-    """Return the part of this balancer's view that a peer lacks.
-
-    Endpoints that the store does not list are left out, since each balancer
-    decides for itself how long it retains them.
-
-    Parameters
-    ----------
-    edge : Edge
-        State of this balancer.
-    revision : int
-        Revision of the peer's view; -1 without one.
-    version : int
-        Version of the peer's routes; -1 without any.
-    """
-    history = edge.history
-    own_revision = edge.reads.revision
-    routes = edge.steering.routes
-    endpoints = list_changes(history, revision, own_revision) or EndpointView(
-        own_revision,
-        tuple(history.endpoints.values()),
-        history.max_revision,
-    )
-    return StoreView(endpoints, routes if routes.version > version else None)
-
-
-def _end_fetch(edge: Edge) -> None:
-    edge.fetch_started_at = None
-    edge.fetch_failures = 0
-
-
-def _fetch_whole_view(
-    edge: Edge, changes: EndpointChanges, now: float
-) -> list[EdgeEffect]:
-    """Fetch a whole view, since changes did not lead to the peer's view."""
-    edge.needs_whole_view = True
-    fields = {
-        'reason': 'changes_do_not_match',
-        'base_revision': format_revision(changes.base_revision),
-        'revision': format_revision(changes.revision),
-        'own_revision': format_revision(edge.history.revision),
-    }
-    mismatch = LogEvent('peer_view_failed', fields)
-    return [mismatch, *_fetch_newer_view(edge, now)]
-
-
-def _fetch_newer_view(edge: Edge, now: float) -> list[EdgeEffect]:
-    """Fetch the view of a random peer that reports a newer one."""
-    holders = list_peers_with_newer_view(
-        edge.peer_table,
-        edge.reads.revision,
-        edge.steering.routes.version,
-        edge.data_centre,
-    )
-    if not holders:
-        return []
-    edge.fetch_started_at = now
-    return [
-        FetchView(
-            holders[edge.randbelow(len(holders))],
-            NO_REVISION if edge.needs_whole_view else edge.reads.revision,
-            edge.steering.routes.version,
-        ),
-    ]
-
-
 def _finish_store_read(edge: Edge) -> list[EdgeEffect]:
     if finish_read(edge.reads):
         revision = format_revision(edge.reads.revision)
@@ -291,11 +147,12 @@
     return effects
 
 
-def _apply_endpoints(
+def apply_endpoints(
     edge: Edge,
     view: EndpointView,
     now: float,
 ) -> list[EdgeEffect]:
+    """Record a view of the endpoints and put it in force."""
     steering = edge.steering
     former_revision = edge.history.revision
     record_view(edge.history, view)
@@ -311,11 +168,12 @@
     return effects
 
 
-def _apply_routes(
+def apply_routes(
     edge: Edge,
     table: RouteTable,
     now: float,
 ) -> list[EdgeEffect]:
+    """Put routes in force, unless they are older than the current ones."""
     previous_version = edge.steering.routes.version
     fields = {'version': table.version, 'former_version': previous_version}
     if replace_routes(edge.steering, table):
@@ -373,7 +231,8 @@
     )
 
 
-def _update_readiness(edge: Edge, now: float) -> list[EdgeEffect]:
+def update_readiness(edge: Edge, now: float) -> list[EdgeEffect]:
+    """Accept packets once there is a view, and log the first readiness."""
     effects = _log_readiness(edge, now)
     if has_view(edge.steering) and not edge.has_accepted_packets:
         edge.has_accepted_packets = True
--- a/balsamshed/front_ends/edge_peers.py
+++ b/balsamshed/front_ends/edge_peers.py
@@ -16,13 +16,15 @@
     encode_view,
 )
 from balsamshed.edge.effects import EdgeEffect, FetchView, SendReport
-from balsamshed.edge.state import Edge
-from balsamshed.edge.views import (
+from balsamshed.edge.peer_views import (
     create_view_for_peer,
     handle_peer_view,
-    handle_read_failed,
     handle_report,
 )
+from balsamshed.edge.state import Edge
+from balsamshed.edge.views import (
+    handle_read_failed,
+)
 from balsamshed.front_ends.datagram_socket import (
     DatagramSocket,
     bind_datagram_socket,
--- a/testbed/tests/test_edge_fleet.py
+++ b/testbed/tests/test_edge_fleet.py
@@ -8,6 +8,11 @@
 from balsamshed.codecs.views import decode_view, encode_view
 from balsamshed.edge.effects import FetchView, ReadSource, SendReport
 from balsamshed.edge.lifecycle import TICK_SECONDS, handle_tick
+from balsamshed.edge.peer_views import (
+    create_view_for_peer,
+    handle_peer_view,
+    handle_report,
+)
 from balsamshed.edge.tests.builders import (
     build_edge,
     build_endpoint,
@@ -16,11 +21,8 @@
     build_view,
 )
 from balsamshed.edge.views import (
-    create_view_for_peer,
     handle_endpoints,
-    handle_peer_view,
     handle_read_failed,
-    handle_report,
     handle_revision,
     handle_routes,
 )
--- a/testbed/tests/test_large_configuration.py
+++ b/testbed/tests/test_large_configuration.py
@@ -4,7 +4,10 @@
 import time
 
 from balsamshed.edge.tests.builders import build_edge, build_view
-from balsamshed.edge.views import handle_endpoints, handle_routes
+from balsamshed.edge.views import (
+    handle_endpoints,
+    handle_routes,
+)
 from balsamshed.front_ends.edge_peers import create_view_encoder
 from balsamshed.routes.table import Route, ServiceShare, create_route_table
 from balsamshed.store.polling import start_read
--- a/testbed/tests/test_view_exchange.py
+++ b/testbed/tests/test_view_exchange.py
@@ -14,6 +14,11 @@
 from balsamshed.codecs.views import decode_view, encode_view
 from balsamshed.edge.effects import FetchView
 from balsamshed.edge.lifecycle import create_report
+from balsamshed.edge.peer_views import (
+    create_view_for_peer,
+    handle_peer_view,
+    handle_report,
+)
 from balsamshed.edge.tests.builders import (
     build_edge,
     build_endpoint,
@@ -21,11 +26,8 @@
     build_view,
 )
 from balsamshed.edge.views import (
-    create_view_for_peer,
     handle_endpoints,
-    handle_peer_view,
     handle_read_failed,
-    handle_report,
     handle_routes,
 )
 from balsamshed.peers.table import add_peer_addresses
