Correct comments and imports that a second reading stumbled on

No behaviour changes: the size of a compressed table, why a fetched view may hold nothing newer, wrapped lines and one import. Tests of edge, codecs and store pass.

--- a/balsamshed/codecs/compression.py
+++ b/balsamshed/codecs/compression.py
@@ -1,6 +1,6 @@
 """Compression of the views that balancers send to each other.
 
-A table of 3,000 routes takes 190 KB as JSON and a tenth of that compressed.
+A table of 3,000 routes takes 180 KB as JSON, and a fifth of that compressed.
 """
 
 import zlib
--- a/balsamshed/codecs/reports.py
+++ b/balsamshed/codecs/reports.py
@@ -6,9 +6,8 @@
 
 Big-endian: format number, length of the data centre's name, number of
 endpoints, number of peers, revision, age in milliseconds, version of the
-routes; then the name, the
-endpoints (cookie, requests in flight with the highest bit set for a suspected
-endpoint) and the addresses of the peers.
+routes; then the name, the endpoints (cookie, requests in flight with the
+highest bit set for a suspected endpoint) and the addresses of the peers.
 """
 
 from enum import StrEnum
--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -32,7 +32,6 @@
 _FIRST_TYPES: Final = (int, int, str, str, int, str, int, bool)
 _ROW_TYPES: Final = ((*_FIRST_TYPES, float, int), (*_FIRST_TYPES, int, int))
 
-
 #: Encodes a table of routes as JSON.
 RoutesEncoder = Callable[[RouteTable], bytes]
 
--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -11,9 +11,7 @@
     StopProcess,
 )
 from balsamshed.edge.state import MAX_QUEUED_SECONDS, Edge, detect_pause
-from balsamshed.edge.views import (
-    apply_endpoint_changes,
-)
+from balsamshed.edge.views import apply_endpoint_changes
 from balsamshed.endpoints.directory import (
     expire_missing,
     extend_missing_retention,
--- a/balsamshed/edge/peer_views.py
+++ b/balsamshed/edge/peer_views.py
@@ -74,7 +74,7 @@
         effects.extend(apply_routes(edge, view.routes, now))
     if endpoints.revision <= edge.reads.revision:
         if not effects:
-            # The peer has restarted, or its report was older than its view.
+            # A read of the store was faster, or the peer has restarted.
             return handle_read_failed(
                 edge, Source.PEER_VIEW, 'nothing_newer', now
             )
--- a/balsamshed/store/revisions.py
+++ b/balsamshed/store/revisions.py
@@ -10,8 +10,9 @@
 
 #: Bits of the number of changes; the era is in the bits above.
 _NUMBER_BITS: Final = 40
+#: Limit of the number of changes.
 MAX_NUMBER: Final = (1 << _NUMBER_BITS) - 1
-#: Limit of the era, so that a revision fits into 63 bits of a report.
+#: Limit of the era, so that a revision fits into the 63 bits of a report.
 MAX_ERA: Final = (1 << 63 - _NUMBER_BITS) - 1
 
 
