Correct the links of review case 2

The stand-in of the links refused the connections between balancers, which made the case look worse than it is. The store tells its callers apart by the address that each of them uses.

--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import zlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 from standins.packets import (
     ACK,
@@ -16,6 +16,7 @@
     is_genuine,
 )
 from standins.record import Record
+from standins.waits import Waits
 
 _MASK = 0xFFFFFFFF
 _RESET_WINDOW = 76_800
@@ -34,7 +35,7 @@
         host: str,
         port: int,
         route: Callable[[tuple[str, int, str, int]], tuple[str, int] | None],
-        waits: Mapping[str, float],
+        waits: Waits,
     ) -> None:
         """Create an address that does not listen yet."""
         self.record = record
@@ -70,13 +71,14 @@
         node = self.route(packet.get_flow())
         if node is None or self.transport is None:
             return
-        wait = self.waits.get(node[0], 0)
+        datagram = encode(packet)
+        wait = self.waits.pass_link(node[0])
         if wait:
             asyncio.get_running_loop().call_later(
-                wait, self.transport.sendto, encode(packet), node
+                wait, self.transport.sendto, datagram, node
             )
         else:
-            self.transport.sendto(encode(packet), node)
+            self.transport.sendto(datagram, node)
 
     def open(self, listener: tuple[str, int]) -> 'Flow':
         """Return a new flow from a new port."""
--- a/review/standins/endpoint.py
+++ b/review/standins/endpoint.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import time
-from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from standins.packets import (
@@ -18,6 +17,7 @@
 )
 from standins.record import Record
 from standins.store import Store
+from standins.waits import Waits
 
 _RETRANSMISSIONS = 8
 _FIRST_INTERVAL = 0.2
@@ -45,7 +45,7 @@
         service: str,
         host: str,
         client_port: int,
-        waits: Mapping[str, float],
+        waits: Waits,
         work_seconds: float = 0.02,
         zone: str = 'zone-a',
     ) -> None:
@@ -130,7 +130,7 @@
         self, datagram: bytes, sender: tuple[str, int]
     ) -> None:
         """Handle a datagram, once it has passed the link of its sender."""
-        wait = self.waits.get(sender[0], 0)
+        wait = self.waits.pass_link(sender[0])
         if wait:
             loop = asyncio.get_running_loop()
             loop.call_later(wait, self._receive, datagram, sender)
--- a/review/standins/links.py
+++ b/review/standins/links.py
@@ -6,8 +6,11 @@
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
+
+from standins.waits import Waits
 
 #: Time that a message takes between two machines whose links are free.
 _FREE_SECONDS = 0.0005
@@ -26,7 +29,7 @@
     """All links of a site."""
 
     def __init__(
-        self, machines: list[Machine], port: int, waits: Mapping[str, float]
+        self, machines: list[Machine], port: int, waits: Waits
     ) -> None:
         """Create links that do not listen yet."""
         self.machines = {machine.number: machine for machine in machines}
@@ -52,10 +55,11 @@
                 self.port,
             )
 
-    def delay(self, first: int, second: int) -> float:
+    def get_delay(self, sender: int, receiver: int) -> float:
         """Return the time that a message takes between two machines."""
-        hosts = (self.machines[first].host, self.machines[second].host)
-        return _FREE_SECONDS + sum(self.waits.get(host, 0) for host in hosts)
+        leave = self.waits.pass_link(self.machines[sender].host)
+        enter = self.waits.pass_link(self.machines[receiver].host)
+        return _FREE_SECONDS + leave + enter
 
     def pass_on(self, datagram: bytes, sender: str, receiver: int) -> None:
         """Pass a datagram on after the delay of its link."""
@@ -64,7 +68,7 @@
             return
         target = (self.machines[receiver].host, self.port)
         asyncio.get_running_loop().call_later(
-            self.delay(number, receiver),
+            self.get_delay(number, receiver),
             self.sockets[number].sendto,
             datagram,
             target,
@@ -76,16 +80,16 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        sender = self.numbers.get(writer.get_extra_info('peername')[0])
+        # The address of the caller does not show which machine it is, so the
+        # connection waits at the link of the called machine only.
+        host = self.machines[receiver].host
         try:
-            if sender is None or sender == receiver:
-                return
             far_reader, far_writer = await asyncio.open_connection(
-                self.machines[receiver].host, self.port
+                host, self.port
             )
             await asyncio.gather(
-                _copy(reader, far_writer, self.delay(sender, receiver)),
-                _copy(far_reader, writer, self.delay(receiver, sender)),
+                _copy(reader, far_writer, partial(self.waits.pass_link, host)),
+                _copy(far_reader, writer, partial(self.waits.pass_link, host)),
             )
         except OSError:
             pass
@@ -105,14 +109,16 @@
 
 
 async def _copy(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, delay: float
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    get_delay: Callable[[], float],
 ) -> None:
     try:
         while chunk := await reader.read(65_536):
-            await asyncio.sleep(delay)
+            await asyncio.sleep(get_delay())
             writer.write(chunk)
             await writer.drain()
-        await asyncio.sleep(delay)
+        await asyncio.sleep(get_delay())
     except OSError:
         pass
     finally:
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -19,6 +19,7 @@
 from standins.links import Links, Machine
 from standins.record import Record
 from standins.store import Store, serve
+from standins.waits import Waits
 
 ROOT = Path(__file__).resolve().parents[2]
 #: Figures of the small sites on the users' pages.
@@ -74,14 +75,10 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.count = 0
         self.has_links = False
-        #: Seconds that packets wait at the link of a machine, by address.
-        self.waits: dict[str, float] = {}
+        self.waits = Waits()
 
     async def start_platform(self) -> None:
-        """Start the store and the address of the clients."""
-        await serve(
-            self.store, f'{self.subnet}.3.1', self.store_port, self.waits
-        )
+        """Start the address of the clients; machines start the store's."""
         self.client = ClientHost(
             self.record,
             f'{self.subnet}.4.1',
@@ -92,25 +89,18 @@
         await self.client.start()
 
     def write_configuration(
-        self, version: int, routes: dict[tuple[str, int], str]
+        self,
+        version: int,
+        routes: dict[tuple[str, int], str],
     ) -> float:
         """Write a configuration; return the time of its acknowledgement."""
+        listed = [
+            describe_route(f'r-{host}-{port}', host, port, service)
+            for (host, port), service in routes.items()
+        ]
         spec = {
             'version': version,
-            'routes': [
-                {
-                    'name': f'r-{host}-{port}',
-                    'host': host,
-                    'pathPrefix': f'/{port}/',
-                    'type': 'safe',
-                    'service': service,
-                    'timeoutMs': 1000,
-                    'latencyGoalMs': 150,
-                    'priority': 1,
-                    'maxAttempts': 2,
-                }
-                for (host, port), service in routes.items()
-            ],
+            'routes': listed,
             'services': [
                 {'name': service, 'healthPath': '/health'}
                 for service in sorted(set(routes.values()))
@@ -135,13 +125,20 @@
         await endpoint.start(self.store, HEARTBEAT_SECONDS)
         return endpoint
 
-    def add_node(self, zone: str = 'zone-a') -> Node:
+    async def add_node(self, zone: str = 'zone-a') -> Node:
         """Add a machine and start its balancer."""
         number = len(self.nodes) + 1
         host = self.get_host(number)
         link = self.get_link(number) if self.has_links else host
         node = Node(number, host, link, zone)
         self.nodes.append(node)
+        await serve(
+            self.store,
+            self.get_store_host(number),
+            self.store_port,
+            host,
+            self.waits,
+        )
         self.tasks.append(
             asyncio.get_running_loop().create_task(self._probe(node))
         )
@@ -152,6 +149,10 @@
         """Return the address of a machine."""
         return f'{self.subnet}.{10 + number}.2'
 
+    def get_store_host(self, number: int) -> str:
+        """Return the address at which a machine reaches the store."""
+        return f'{self.subnet}.3.{number}'
+
     def get_link(self, number: int) -> str:
         """Return the address of a machine's link."""
         return f'{self.subnet}.{10 + number}.1'
@@ -266,7 +267,11 @@
                 'flowTtlS': FLOW_LIFETIME_SECONDS,
                 'graceS': GRACE_SECONDS,
             },
-            'platform': {'address': f'{self.subnet}.3.1:{self.store_port}'},
+            'platform': {
+                'address': (
+                    f'{self.get_store_host(node.number)}:{self.store_port}'
+                ),
+            },
         }
 
     async def _probe(self, node: Node) -> None:
@@ -316,6 +321,23 @@
             site.stop()
 
 
+def describe_route(
+    name: str, host: str, port: int, service: str
+) -> dict[str, object]:
+    """Return a route as the operator writes it."""
+    return {
+        'name': name,
+        'host': host,
+        'pathPrefix': f'/{port}/',
+        'type': 'safe',
+        'service': service,
+        'timeoutMs': 1000,
+        'latencyGoalMs': 150,
+        'priority': 1,
+        'maxAttempts': 2,
+    }
+
+
 def _fill_in(template: str, fields: dict[str, Any]) -> str:
     def replace(matched: re.Match[str]) -> str:
         value: Any = fields
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -5,10 +5,11 @@
 
 import asyncio
 import json
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, unquote, urlsplit
 
+from standins.waits import Waits
+
 _PREFIX = '/v1/objects/'
 _PAGE_OBJECTS = 500
 _ANSWER_SECONDS = 0.004
@@ -92,20 +93,20 @@
 
 
 async def serve(
-    store: Store, host: str, port: int, waits: Mapping[str, float]
+    store: Store, host: str, port: int, caller: str, waits: Waits
 ) -> asyncio.Server:
-    """Serve the store at an address."""
+    """Serve the store to one machine, at an address of its own."""
 
     async def handle(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        caller = writer.get_extra_info('peername')[0]
         try:
             while line := await reader.readline():
                 while (await reader.readline()).strip():
                     pass
                 method, target, _ = line.decode('latin-1').split(' ', 2)
-                await asyncio.sleep(_ANSWER_SECONDS + 2 * waits.get(caller, 0))
+                wait = 2 * waits.pass_link(caller)
+                await asyncio.sleep(_ANSWER_SECONDS + wait)
                 status, body = 405, b'{}'
                 if method == 'GET':
                     status, body = store.answer(target)
