--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -31,6 +31,7 @@
 FLOW_LIFETIME_SECONDS = 60
 GRACE_SECONDS = 6
 _PROBE_SECONDS = 0.5
+_RESERVATION_PORT = 9464
 _PLACEHOLDER = re.compile(r'\{\{([\w.]+)(\|json)?\}\}')
 
 
@@ -65,7 +66,7 @@
         self.store = Store()
         self.nodes: list[Node] = []
         self.endpoints: list[Endpoint] = []
-        self.subnet = f'127.{10 + os.getpid() % 200}'
+        self.subnet, self.reserved = _reserve_subnet()
         self.packet_port = _find_free_port(socket.SOCK_DGRAM)
         self.ready_port = _find_free_port(socket.SOCK_STREAM)
         self.control_port = _find_free_port(socket.SOCK_STREAM)
@@ -242,6 +243,7 @@
 
     def stop(self) -> None:
         """End all processes, each by its process ID."""
+        self.reserved.close()
         for task in self.tasks:
             task.cancel()
         for node in self.nodes:
@@ -348,6 +350,23 @@
     return _PLACEHOLDER.sub(replace, template)
 
 
+def _reserve_subnet() -> tuple[str, socket.socket]:
+    """Return a part of the loopback range, and the socket that reserves it.
+
+    Runs at the same time must not share it: the metrics have a fixed port.
+    """
+    for number in range(10, 210):
+        subnet = f'127.{10 + (os.getpid() + number) % 200}'
+        reserved = socket.socket()
+        try:
+            reserved.bind((f'{subnet}.250.1', _RESERVATION_PORT))
+        except OSError:
+            reserved.close()
+        else:
+            return subnet, reserved
+    raise CannotRun('no part of the loopback range is free')
+
+
 def _find_free_port(kind: int) -> int:
     with socket.socket(socket.AF_INET, kind) as probe:
         probe.bind(('0.0.0.0', 0))
