Add switches for the parts of hard load, all off by default

Cause: two customers need parts that other sites must not notice. The settings had no optional keys, and nothing told a decision whether a part is switched on.

--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -7,6 +7,7 @@
 from balsamshed.peers.table import PeerTable
 from balsamshed.random_numbers import RandBelow
 from balsamshed.steering.decisions import Steering, create_steering, is_ready
+from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
 from balsamshed.store.polling import ReadState
 
 #: Minimum gap between ticks that counts as a pause of the process.
@@ -112,6 +113,7 @@
     is_seed: bool,
     randbelow: RandBelow,
     now: float,
+    options: EdgeOptions = NO_OPTIONS,
 ) -> Edge:
     """Create the state of an edge balancer that has just started."""
     peer_table = PeerTable(own_host, data_centre)
@@ -120,6 +122,7 @@
         flow_lifetime_seconds,
         peer_table,
         randbelow,
+        options,
     )
     return Edge(
         data_centre,
--- a/balsamshed/front_ends/edge_process.py
+++ b/balsamshed/front_ends/edge_process.py
@@ -123,6 +123,7 @@
         own_host in seeds,
         random.SystemRandom().randrange,
         now,
+        settings.options,
     )
     add_peer_addresses(edge.peer_table, seeds, now)
     store = HttpSession(loop, settings.store)
--- a/balsamshed/settings/edge.py
+++ b/balsamshed/settings/edge.py
@@ -11,6 +11,8 @@
 
 from balsamshed.findings import Finding
 from balsamshed.settings.balancer import SocketAddress
+from balsamshed.settings.edge_options import OPTIONS_KEY, parse_edge_options
+from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
 
 _MAX_PORT: Final = 65535
 
@@ -41,6 +43,8 @@
         Maximum lifetime of a flow.
     grace_seconds : float
         Time between SIGTERM and SIGKILL.
+    options : EdgeOptions
+        Optional parts that are switched on.
     """
 
     name: str
@@ -53,6 +57,7 @@
     seeds: tuple[SocketAddress, ...]
     flow_lifetime_seconds: float
     grace_seconds: float
+    options: EdgeOptions = NO_OPTIONS
 
 
 def parse_edge_settings(text: str) -> EdgeSettings | tuple[Finding, ...]:
@@ -80,7 +85,10 @@
         for key, rule in _FIELD_RULES.items()
         if not rule.is_valid(content.get(key))
     )
-    return findings or _build_settings(content)
+    options = parse_edge_options(content.get(OPTIONS_KEY))
+    if not isinstance(options, EdgeOptions):
+        return findings + options
+    return findings or _build_settings(content, options)
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,7 +149,9 @@
 }
 
 
-def _build_settings(content: Mapping[str, Any]) -> EdgeSettings:
+def _build_settings(
+    content: Mapping[str, Any], options: EdgeOptions
+) -> EdgeSettings:
     return EdgeSettings(
         name=content['name'],
         data_centre=content['data_centre'],
@@ -153,6 +163,7 @@
         seeds=tuple(map(_parse_address, content['seeds'])),
         flow_lifetime_seconds=content['flow_lifetime_seconds'],
         grace_seconds=content['grace_seconds'],
+        options=options,
     )
 
 
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -28,6 +28,7 @@
 )
 from balsamshed.random_numbers import RandBelow
 from balsamshed.routes.table import Route, RouteTable, choose_newer
+from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
 from balsamshed.steering.packets import (
     DropPacket,
     ExpectedLoad,
@@ -95,6 +96,8 @@
         Durations and free slots of each service.
     latency_samples : deque of LatencySample
         Latest samples that the metrics have not yet read.
+    options : EdgeOptions
+        Optional parts that are switched on.
     """
 
     directory: EndpointDirectory
@@ -108,6 +111,7 @@
     latency_samples: deque[LatencySample] = field(
         default_factory=lambda: deque(maxlen=MAX_LATENCY_SAMPLES),
     )
+    options: EdgeOptions = NO_OPTIONS
 
 
 def create_steering(
@@ -115,6 +119,7 @@
     flow_lifetime_seconds: float,
     peer_table: PeerTable,
     randbelow: RandBelow,
+    options: EdgeOptions = NO_OPTIONS,
 ) -> Steering:
     """Create the state of a balancer without routes or endpoints.
 
@@ -128,6 +133,8 @@
         Loads and suspicions that other balancers report.
     randbelow : callable
         Returns a random integer from 0 to below its argument.
+    options : EdgeOptions
+        Optional parts that are switched on.
     """
     requests = RequestTable()
     return Steering(
@@ -140,6 +147,7 @@
             peer_table.suspecting_peers,
         ),
         randbelow,
+        options=options,
     )
 
 
