Read the other entries of a page when one is unreadable

A page of the store's list was decoded as a whole, so one entry of another writer with a number of 5,000 digits, deep nesting or bytes that are not UTF-8 made all lists malformed, and no drain and no configuration was applied any more (DRAIN, CONFIG). Change: a document that JSON's decoder rejects is split at its brackets, and only the unreadable part is lost. Its entry is rejected with its name and field in the log line entries_rejected.

--- a/balsamshed/platform/listing.py
+++ b/balsamshed/platform/listing.py
@@ -1,12 +1,12 @@
 """List requests to the platform's store, and their response pages."""
 
-import json
 import re
 from collections.abc import Mapping
 from typing import Any, Final
 
 from balsamshed.edge.effects import ReadSource
 from balsamshed.front_ends.source_reader import ListPage
+from balsamshed.platform.documents import decode_document
 from balsamshed.store.polling import Source
 from balsamshed.store.revisions import (
     MAX_ERA,
@@ -46,6 +46,8 @@
 ) -> ListPage | None:
     """Decode the response to a list request; None if it is malformed.
 
+    An object that cannot be read costs only itself; see `decode_document`.
+
     Parameters
     ----------
     body : bytes
@@ -105,8 +107,5 @@
 
 
 def _decode_json_object(body: bytes) -> Mapping[str, Any] | None:
-    try:
-        content = json.loads(body)
-    except (ValueError, RecursionError):
-        return None
+    content = decode_document(body)
     return content if isinstance(content, Mapping) else None
--- a/balsamshed/platform/tests/test_listing.py
+++ b/balsamshed/platform/tests/test_listing.py
@@ -6,6 +6,7 @@
 
 from balsamshed.edge.effects import ReadSource
 from balsamshed.front_ends.source_reader import ListPage, SourceListing
+from balsamshed.platform.documents import UnreadablePart
 from balsamshed.platform.listing import decode_page, format_list_path
 from balsamshed.platform.tests.test_entries import (
     build_configuration,
@@ -59,6 +60,57 @@
     assert rejected == ('i-3:state', ':id')
 
 
+@pytest.mark.parametrize(
+    ('unreadable', 'field'),
+    [
+        (b'%s1%s' % (b'[' * 2000, b']' * 2000), 'sequence'),
+        (b'9' * 5000, 'spec'),
+        (b'"\xff\xfe"', 'spec'),
+        (b'{"a":%s}' % (b'9' * 5000), 'sequence'),
+    ],
+    ids=['nesting', 'digits', 'bytes', 'nested digits'],
+)
+def test_unreadable_entry_costs_only_itself(unreadable, field):
+    """Guards against one entry of another writer that stops every drain."""
+    entries = [
+        json.dumps(build_entry(name)).encode() for name in ('i-1', 'i-3')
+    ]
+    foreign = json.dumps(build_entry('i-2', sequence='X')).encode()
+    entries.insert(1, foreign.replace(b'"X"', unreadable))
+    body = b'{"items":[%s],"hasMore":true,"currentRev":9}' % b','.join(entries)
+    page = decode_page(body)
+    assert (page.revision, page.next_after) == (9, 'i-3')
+    view, rejected = decode_endpoints(SourceListing(page.items, 9, 9))
+    assert [endpoint.instance for endpoint in view.endpoints] == [1, 3]
+    assert rejected == (f'i-2:{field}',)
+
+
+def test_list_goes_on_after_an_unreadable_last_entry():
+    """Guards against a list that ends at an unreadable entry."""
+    entry = b'{"meta":{"name":"i-7"},"spec":{"zone":"\xff"}}'
+    body = b'{"items":[%s],"hasMore":true,"currentRev":9}' % entry
+    assert decode_page(body).next_after == 'i-7'
+
+
+def test_strings_with_brackets_do_not_split_an_entry():
+    """Guards against brackets in a string that count as nesting."""
+    entry = b'{"meta":{"name":"i-7"},"spec":{"a":"]}\\"[{","b":"\xff"}}'
+    body = b'{"items":[%s],"hasMore":false,"currentRev":9}' % entry
+    (item,) = decode_page(body).items
+    assert item['meta'] == {'name': 'i-7'}
+    assert item['spec'] == UnreadablePart('UnicodeDecodeError')
+
+
+def test_unreadable_optional_field_is_not_taken_for_an_absent_one():
+    """Guards against an entry that is used without its start time."""
+    entry = json.dumps(build_entry(born='X')).encode()
+    entry = entry.replace(b'"X"', b'[' * 2000 + b']' * 2000)
+    body = b'{"items":[%s],"hasMore":false,"currentRev":9}' % entry
+    page = decode_page(body)
+    view, rejected = decode_endpoints(SourceListing(page.items, 9, 9))
+    assert (view.endpoints, rejected) == ((), ('i-2fa0:born',))
+
+
 def test_configuration_is_found_by_its_name():
     """Guards against routes taken from another object of the same kind."""
     other = {**build_configuration(), 'meta': {'name': 'draft'}}
