Use no entry without a version, with the ID 0, or with a taken ID

An entry of another writer without a version was used, and its ID 0 is the number that every endpoint accepts, so requests of one service ran at another one (ROUTE). Names that differ in leading zeros only hold the same number, so a later entry could replace an endpoint's address as well. Change: a version is required, the number 0 is no ID, and of two names with one number the entry that was created first is used.

--- a/balsamshed/platform/entries.py
+++ b/balsamshed/platform/entries.py
@@ -17,6 +17,8 @@
 )
 
 _INSTANCE_PATTERN: Final = re.compile('i-([0-9a-f]{1,16})')
+#: Number that addresses any endpoint, so that no endpoint may have it.
+_ANY_ENDPOINT: Final = 0
 _OCTET: Final = '(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])'
 _ADDRESS_PATTERN: Final = re.compile(
     rf'({_OCTET}(?:\.{_OCTET}){{3}}):([0-9]{{1,5}})'
@@ -67,7 +69,7 @@
     """
     name, spec = _get_name_and_spec(item)
     instance = _INSTANCE_PATTERN.fullmatch(name)
-    if instance is None:
+    if instance is None or int(instance[1], 16) == _ANY_ENDPOINT:
         return EntryRejection(name, 'id')
     if spec is None:
         return EntryRejection(name, 'spec')
@@ -195,6 +197,10 @@
     return int.from_bytes(map(int, host.split('.')), 'big')
 
 
+def _is_string(value: object) -> bool:
+    return isinstance(value, str)
+
+
 def _is_non_empty_string(value: object) -> bool:
     return isinstance(value, str) and bool(value)
 
@@ -240,6 +246,7 @@
     'service': _is_non_empty_string,
     'address': _is_non_empty_string,
     'zone': _is_non_empty_string,
+    'version': _is_string,
     'maxConcurrency': _is_slot_count,
     'state': _is_state,
     'warmupLeftMs': _is_duration,
--- a/balsamshed/platform/listing.py
+++ b/balsamshed/platform/listing.py
@@ -84,8 +84,17 @@
 
 def get_object_revision(item: object) -> int:
     """Return the revision of an object's last change; -1 if it has none."""
+    return _get_revision(item, 'rev')
+
+
+def get_creation_revision(item: object) -> int:
+    """Return the revision of an object's creation; -1 if it has none."""
+    return _get_revision(item, 'createRev')
+
+
+def _get_revision(item: object, field: str) -> int:
     meta = item.get('meta') if isinstance(item, Mapping) else None
-    revision = meta.get('rev') if isinstance(meta, Mapping) else None
+    revision = meta.get(field) if isinstance(meta, Mapping) else None
     return revision if isinstance(revision, int) else -1
 
 
--- a/balsamshed/platform/tests/test_entries.py
+++ b/balsamshed/platform/tests/test_entries.py
@@ -89,6 +89,8 @@
         {'maxConcurrency': True},
         {'state': 'gone'},
         {'state': ['ready']},
+        {'version': None},
+        {'version': 3},
         {'warmupLeftMs': None},
         {'warmupLeftMs': -1},
         {'sequence': 1.5},
@@ -102,9 +104,12 @@
     assert entry == EntryRejection('i-2fa0', field)
 
 
-@pytest.mark.parametrize('name', ['', '2fa0', 'i-', 'i-xyz', 'i-' + 17 * 'a'])
+@pytest.mark.parametrize(
+    'name', ['', '2fa0', 'i-', 'i-xyz', 'i-' + 17 * 'a', 'i-0', 'i-000']
+)
 def test_invalid_name_rejects_the_entry(name):
-    """Guards against packets sent with an instance ID that no endpoint has."""
+    """Guards against packets sent with an instance ID that no endpoint has, or
+    that any endpoint accepts."""
     assert decode_endpoint(build_entry(name)) == EntryRejection(name, 'id')
 
 
--- a/balsamshed/platform/tests/test_listing.py
+++ b/balsamshed/platform/tests/test_listing.py
@@ -111,6 +111,17 @@
     assert (view.endpoints, rejected) == ((), ('i-2fa0:born',))
 
 
+def test_first_of_two_names_with_one_id_keeps_it():
+    """Guards against an entry of another writer that replaces an endpoint's
+    address under another spelling of its ID."""
+    own, foreign = build_entry('i-2fa0'), build_entry('i-02fa0', service='x')
+    own['meta']['createRev'], foreign['meta']['createRev'] = 4, 8
+    for items in ((own, foreign), (foreign, own)):
+        view, rejected = decode_endpoints(SourceListing(items, 9, 9))
+        assert [endpoint.service for endpoint in view.endpoints] == ['web']
+        assert rejected == ('i-02fa0:id',)
+
+
 def test_configuration_is_found_by_its_name():
     """Guards against routes taken from another object of the same kind."""
     other = {**build_configuration(), 'meta': {'name': 'draft'}}
--- a/balsamshed/platform/wire.py
+++ b/balsamshed/platform/wire.py
@@ -14,6 +14,7 @@
 from balsamshed.platform.listing import (
     decode_page,
     format_list_path,
+    get_creation_revision,
     get_object_name,
     get_object_revision,
 )
@@ -53,25 +54,29 @@
     """Return the endpoints of a listing and its rejected entries.
 
     A rejected entry is given as ``name:field`` with its first invalid field.
+    Names that differ in leading zeros only hold the same instance ID, and the
+    entry that was created first keeps it.
     """
-    endpoints: list[Endpoint] = []
+    endpoints: dict[int, Endpoint] = {}
     rejected: list[str] = []
     change_revisions: set[int] = set()
     era = get_era(listing.revision)
-    for item in listing.items:
+    for item in sorted(listing.items, key=get_creation_revision):
         entry = decode_endpoint(item)
         number = get_object_revision(item)
         change_revisions.add(combine_revision(era, number))
         if isinstance(entry, EntryRejection):
             rejected.append(f'{entry.name}:{entry.field}')
+        elif entry.instance in endpoints:
+            rejected.append(f'{get_object_name(item)}:id')
         else:
-            endpoints.append(entry)
+            endpoints[entry.instance] = entry
     if rejected or len(change_revisions) < len(endpoints):
         # An entry that has become invalid would count as changed and as gone.
         change_revisions.clear()
     view = EndpointView(
         listing.revision,
-        tuple(endpoints),
+        tuple(endpoints.values()),
         listing.max_revision,
         frozenset(change_revisions),
     )
