Spread numbered endpoint IDs over the cookies

Change: the finalizer of SplitMix64 derives the cookie; should two IDs still share one, the endpoint that started first keeps it on every balancer. Cookies that balancers of the former build assigned are still looked up, so that their flows stay open while balancers are replaced. Ruled out: keeping the folded cookie where it is free. Which endpoint has the second cookie would depend on endpoints that a restarted balancer never saw.

--- a/balsamshed/endpoints/directory.py
+++ b/balsamshed/endpoints/directory.py
@@ -5,7 +5,11 @@
 from enum import StrEnum
 from typing import Final
 
-from balsamshed.endpoints.endpoint import Endpoint, has_same_state
+from balsamshed.endpoints.endpoint import (
+    Endpoint,
+    derive_former_cookie,
+    has_same_state,
+)
 from balsamshed.endpoints.restored import (
     OutdatedEntry,
     find_outdated_entries,
@@ -310,24 +314,48 @@
     services: dict[str, list[Endpoint]] = {}
     for endpoint in _sort_endpoints(directory):
         key = (endpoint.service, endpoint.cookie)
-        # Two instance IDs may have the same cookie. Every balancer assigns it
-        # to the lower ID of the listed endpoints, and the other endpoint
-        # receives no flows.
+        # Of two endpoints with one cookie, every balancer assigns it to the
+        # one that started first, whose flows may be open, and the other one
+        # receives none.
         if by_cookie.setdefault(key, endpoint) is not endpoint:
             continue
         if endpoint.instance in directory.endpoints:
             if not endpoint.is_draining:
                 services.setdefault(endpoint.service, []).append(endpoint)
+    _index_former_cookies(directory, by_cookie)
     directory.by_cookie = by_cookie
     directory.available_by_service = {
         service: tuple(endpoints) for service, endpoints in services.items()
     }
 
 
-def _sort_endpoints(directory: EndpointDirectory) -> list[Endpoint]:
+def _index_former_cookies(
+    directory: EndpointDirectory,
+    by_cookie: dict[tuple[str, int], Endpoint],
+) -> None:
+    """Add the cookies of flows that balancers of former builds opened.
+
+    Those assign a cookie that two endpoints share to the lower ID.
+    """
     present = sorted(directory.endpoints.values(), key=_get_instance)
-    return present + [endpoint for endpoint, _ in directory.removed.values()]
+    removed = sorted(_list_removed(directory), key=_get_instance)
+    for endpoint in present + removed:
+        cookie = derive_former_cookie(endpoint.instance)
+        by_cookie.setdefault((endpoint.service, cookie), endpoint)
+
+
+def _sort_endpoints(directory: EndpointDirectory) -> list[Endpoint]:
+    present = sorted(directory.endpoints.values(), key=_get_start)
+    return present + _list_removed(directory)
+
+
+def _list_removed(directory: EndpointDirectory) -> list[Endpoint]:
+    return [endpoint for endpoint, _ in directory.removed.values()]
 
 
 def _get_instance(endpoint: Endpoint) -> int:
     return endpoint.instance
+
+
+def _get_start(endpoint: Endpoint) -> tuple[int, int]:
+    return endpoint.started_at_ms, endpoint.instance
--- a/balsamshed/endpoints/endpoint.py
+++ b/balsamshed/endpoints/endpoint.py
@@ -10,6 +10,7 @@
 NO_COOKIE: Final = 0
 
 _COOKIE_MASK: Final = (1 << COOKIE_BITS) - 1
+_ID_MASK: Final = (1 << 64) - 1
 #: Returns the fields of an endpoint on which decisions depend.
 get_state: Final = attrgetter(
     'started_at_ms',
@@ -82,7 +83,8 @@
 def derive_cookie(instance: int) -> int:
     """Return the 32-bit cookie of an instance ID.
 
-    Instance IDs are random, so XOR folding distributes as well as a hash.
+    The finalizer of SplitMix64 (Steele, Lea and Flood, OOPSLA 2014) spreads
+    IDs that are numbered, which differ in few bits, like random ones.
 
     Parameters
     ----------
@@ -94,5 +96,15 @@
     int
         From 1 to 2**32 - 1; never `NO_COOKIE`.
     """
+    mixed = (instance ^ (instance >> 30)) * 0xBF58476D1CE4E5B9 & _ID_MASK
+    mixed = (mixed ^ (mixed >> 27)) * 0x94D049BB133111EB & _ID_MASK
+    return (mixed ^ (mixed >> 31)) >> COOKIE_BITS or 1
+
+
+def derive_former_cookie(instance: int) -> int:
+    """Return the cookie that balancers of former builds assign.
+
+    Flows that they opened are still open while the balancers are replaced.
+    """
     folded = (instance ^ (instance >> COOKIE_BITS)) & _COOKIE_MASK
     return folded or 1
