Forward packets of open flows after a change of services and a restart

Cause: only a balancer that had itself seen an earlier version knew which services a route had before. One that started after the services of a route changed dropped the packets of every flow from before as unknown_cookie, for as long as the flow lived.

Weighed: telling starting balancers the former services (unknown once all balancers have restarted, and a balancer that skips a version never learns them), writing them to the store (a call for each change, and a balancer cannot tell whether another has written), and forwarding by the cookie alone. A forged cookie gains nothing by the last: an endpoint resets packets of flows that it does not hold and runs nothing, and openings still follow the routes only.

Change: a packet of an open flow whose cookie names no endpoint of the route's services goes to the endpoint with that cookie, if endpoints of only one service have it. The record of former services is removed; where two other services share a cookie, the packet is dropped as unknown, as before.

--- a/balsamshed/endpoints/directory.py
+++ b/balsamshed/endpoints/directory.py
@@ -94,6 +94,9 @@
         Entries that a restored store lists in an older state, by instance ID.
     by_cookie : dict of (str, int) to Endpoint
         Present and removed endpoints by service and cookie.
+    service_by_cookie : dict of int to str or None
+        Service of the present and removed endpoints with a cookie; None if
+        they are of several services.
     available_by_service : dict of str to tuple of Endpoint
         Endpoints that are not draining, by service.
     """
@@ -105,6 +108,7 @@
     removed: dict[int, tuple[Endpoint, float]] = field(default_factory=dict)
     outdated: dict[int, OutdatedEntry] = field(default_factory=dict)
     by_cookie: dict[tuple[str, int], Endpoint] = field(default_factory=dict)
+    service_by_cookie: dict[int, str | None] = field(default_factory=dict)
     available_by_service: dict[str, tuple[Endpoint, ...]] = field(
         default_factory=dict,
     )
@@ -207,6 +211,14 @@
     return directory.by_cookie.get((service, cookie))
 
 
+def find_endpoint_of_any_service(
+    directory: EndpointDirectory, cookie: int
+) -> Endpoint | None:
+    """Return the endpoint with a cookie; None if several services have one."""
+    service = directory.service_by_cookie.get(cookie)
+    return None if service is None else directory.by_cookie[service, cookie]
+
+
 def list_available_endpoints(
     directory: EndpointDirectory,
     service: str,
@@ -319,11 +331,21 @@
             if not endpoint.is_draining:
                 services.setdefault(endpoint.service, []).append(endpoint)
     directory.by_cookie = by_cookie
+    directory.service_by_cookie = _index_services(by_cookie)
     directory.available_by_service = {
         service: tuple(endpoints) for service, endpoints in services.items()
     }
 
 
+def _index_services(
+    by_cookie: Iterable[tuple[str, int]],
+) -> dict[int, str | None]:
+    services: dict[int, str | None] = {}
+    for service, cookie in by_cookie:
+        services[cookie] = None if cookie in services else service
+    return services
+
+
 def _sort_endpoints(directory: EndpointDirectory) -> list[Endpoint]:
     present = sorted(directory.endpoints.values(), key=_get_instance)
     return present + [endpoint for endpoint, _ in directory.removed.values()]
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -7,6 +7,7 @@
 from balsamshed.endpoints.directory import (
     EndpointDirectory,
     find_endpoint,
+    find_endpoint_of_any_service,
     list_available_endpoints,
 )
 from balsamshed.endpoints.endpoint import Endpoint
@@ -89,9 +90,6 @@
         Routes in force.
     removed_listeners : set of int
         Keys of listeners whose routes were removed by a newer version.
-    previous_services : dict of int to set of str
-        Services that earlier versions assigned to a listener, by listener
-        key. Open flows stay at their endpoints when the services change.
     service_loads : dict of str to ServiceLoad
         Durations and free slots of each service.
     latency_samples : deque of LatencySample
@@ -106,7 +104,6 @@
     randbelow: RandBelow
     routes: RouteTable = field(default_factory=RouteTable)
     removed_listeners: set[int] = field(default_factory=set)
-    previous_services: dict[int, set[str]] = field(default_factory=dict)
     service_loads: dict[str, ServiceLoad] = field(default_factory=dict)
     latency_samples: deque[LatencySample] = field(
         default_factory=lambda: deque(maxlen=MAX_LATENCY_SAMPLES),
@@ -189,7 +186,12 @@
         return _open_flow(steering, packet, route, now)
     endpoint = _find_on_route(steering, route, packet.cookie)
     if endpoint is None:
-        endpoint = _find_on_previous_services(steering, packet)
+        # An earlier version may have sent new flows to another service, and
+        # this balancer may have started since. An endpoint resets packets of
+        # flows that it does not hold, so a forged cookie opens nothing.
+        endpoint = find_endpoint_of_any_service(
+            steering.directory, packet.cookie
+        )
     if endpoint is None:
         return _UNKNOWN_COOKIE
     _track_request(steering, packet, endpoint.service, now)
@@ -222,7 +224,6 @@
     if choose_newer(previous, table) is previous:
         return False
     steering.routes = table
-    _record_previous_services(steering, previous)
     steering.removed_listeners.update(previous.routes)
     steering.removed_listeners.difference_update(table.routes)
     for service in steering.service_loads.keys() - table.services:
@@ -230,14 +231,6 @@
     return True
 
 
-def _record_previous_services(steering: Steering, previous: RouteTable) -> None:
-    for listener, route in previous.routes.items():
-        current = steering.routes.routes.get(listener)
-        if current is not None and current.shares != route.shares:
-            services = steering.previous_services.setdefault(listener, set())
-            services.update(share.service for share in route.shares)
-
-
 def _classify_unrouted(
     steering: Steering,
     packet: FlowPacket,
@@ -370,17 +363,6 @@
     )
 
 
-def _find_on_previous_services(
-    steering: Steering,
-    packet: FlowPacket,
-) -> Endpoint | None:
-    for service in steering.previous_services.get(packet.listener, ()):
-        endpoint = find_endpoint(steering.directory, service, packet.cookie)
-        if endpoint is not None:
-            return endpoint
-    return None
-
-
 def _track_request(
     steering: Steering,
     packet: FlowPacket,
--- a/testbed/edge_site.py
+++ b/testbed/edge_site.py
@@ -115,17 +115,20 @@
             self.store_port,
         )
 
-    def write_configuration(self, version: int, *more_ports: int) -> None:
+    def write_configuration(
+        self, version: int, *more_ports: int, service: str = 'web'
+    ) -> None:
         """Write a configuration with one route per port.
 
-        The service port always has a route; ``more_ports`` get one each.
+        The service port always has a route; ``more_ports`` get one each. All
+        of them send new flows to ``service``.
         """
         routes = [
             {
                 'name': f'r{port}',
                 'host': SERVICE_HOST,
                 'pathPrefix': f'/{port}/',
-                'service': 'web',
+                'service': service,
                 'timeoutMs': 1000,
             }
             for port in (SERVICE_PORT, *more_ports)
@@ -133,11 +136,11 @@
         spec = {
             'version': version,
             'routes': routes,
-            'services': [{'name': 'web'}],
+            'services': [{'name': service}],
         }
         put_object(self.store, 'config', 'main', spec)
 
-    async def start_endpoint(self, number: int) -> None:
+    async def start_endpoint(self, number: int, service: str = 'web') -> None:
         """Start an endpoint and write its entry to the store."""
         port = next(self.free_ports)
         endpoint = RecordingEndpoint(port)
@@ -146,14 +149,18 @@
             local_addr=('127.0.0.1', port),
         )
         self.endpoints[number] = endpoint
-        self.write_entry(number)
+        self.write_entry(number, service=service)
 
     def write_entry(
-        self, number: int, state: str = 'ready', sequence: int = 1
+        self,
+        number: int,
+        state: str = 'ready',
+        sequence: int = 1,
+        service: str = 'web',
     ) -> None:
         """Write an endpoint's entry to the store."""
         spec = {
-            'service': 'web',
+            'service': service,
             'address': f'127.0.0.1:{self.endpoints[number].port}',
             'zone': 'a',
             'version': 'v1',
--- a/testbed/tests/test_edge_processes.py
+++ b/testbed/tests/test_edge_processes.py
@@ -53,6 +53,40 @@
         asyncio.run(check_whole_path(site))
 
 
+async def check_restart_after_new_service(site):
+    await site.start_store()
+    await site.start_endpoint(1)
+    await site.start_endpoint(2, service='next')
+    hosts = [site.start_balancer(number) for number in (1, 2)]
+    for host in hosts:
+        await wait_until(lambda host=host: site.is_ready(host), 'ready')
+    _, cookie = await open_flow(site, hosts[0], 5100)
+    site.write_configuration(2, service='next')
+    for number in (1, 2):
+        await wait_until(
+            lambda number=number: 2 in site.list_versions(number), 'version 2'
+        )
+    for number in (1, 2):
+        site.processes[number].kill()
+        site.processes[number].wait()
+    for number, host in enumerate(hosts, start=1):
+        site.start_balancer(number)
+        await wait_until(lambda host=host: site.is_ready(host), 'ready again')
+        site.endpoints[1].received.clear()
+        site.send_packet(host, build_packet(ACK, 5100, cookie, b'request'))
+        await wait_until(
+            lambda: site.endpoints[1].received, 'data at the first endpoint'
+        )
+        assert (await open_flow(site, host, 5200 + number))[0] == 2
+
+
+def test_open_flow_survives_a_new_service_and_a_restart_of_all(tmp_path):
+    """Guards against balancers that drop the packets of open flows, since
+    they started after the route's service had changed."""
+    with open_site(tmp_path) as site:
+        asyncio.run(check_restart_after_new_service(site))
+
+
 async def check_drain(site):
     await site.start_store()
     for number in (1, 2):
