Translate the platform's bounds into options in the adapter

Change: the template hands over the bounds as they are, and platform/settings.py turns them into options.

--- a/balsamshed/platform/program.py
+++ b/balsamshed/platform/program.py
@@ -8,6 +8,7 @@
 from balsamshed.findings import format_findings
 from balsamshed.front_ends.datagram_socket import bind_datagram_socket
 from balsamshed.front_ends.event_loop import open_loop
+from balsamshed.platform.settings import translate_settings
 from balsamshed.settings.edge import EdgeSettings, parse_edge_settings
 from balsamshed.settings.watching import create_change_reader
 
@@ -29,7 +30,12 @@
     # garbage and only delay the start.
     gc.disable()
     path = os.environ.get(SETTINGS_PATH_VARIABLE, '')
-    read_change = create_change_reader(path)
+    read_file_change = create_change_reader(path)
+
+    def read_change() -> str | None:
+        changed = read_file_change()
+        return None if changed is None else translate_settings(changed)
+
     try:
         # Importing ``pathlib`` would make the start a tenth slower.
         with open(path, encoding='utf-8') as settings_file:
@@ -37,7 +43,7 @@
     except OSError as error:
         sys.stderr.write(f'{SETTINGS_PATH_VARIABLE}={path}: {error.strerror}\n')
         return _EXIT_BAD_INPUT
-    settings = parse_edge_settings(text)
+    settings = parse_edge_settings(translate_settings(text))
     if not isinstance(settings, EdgeSettings):
         sys.stderr.write(f'{format_findings(path, settings)}\n')
         return _EXIT_BAD_INPUT
