Follow the evacuations of data centres

Change, with the option follow_evacuations: the aggregate balsamshed/evacuations holds the evacuated data centres at a revision of their own, which never goes back. Each poll of the store lists them in place of the revision alone, so they cost no further call, and a removal cannot hide behind other changes. Peers get them with a view, under a key of its own; a view without the key is completed from the store. New flows, also repeated openings, leave out the endpoints of evacuated data centres and are refused at once if no other is left; open flows stay. An entry that cannot be read changes nothing, here and at peers, and a list that cannot be read as a whole stops no other read. A store that came back from an older copy neither ends nor repeats an evacuation.

Tests: rules, codec both ways, a state machine of balancers that exchange views beside a build without evacuations, and processes of which one starts while the store is down.

--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -29,6 +29,7 @@
     build_view,
 )
 from balsamshed.endpoints.history import EndpointChanges
+from balsamshed.evacuations.view import EvacuationView
 from balsamshed.peers.report import (
     EndpointReport,
     PeerReport,
@@ -185,6 +186,44 @@
     assert decode_view(json.dumps(document).encode()) == view
 
 
+def build_evacuated_view():
+    evacuations = EvacuationView(
+        8, {'b': 5, 'c': -1}, frozenset('d'), frozenset('e')
+    )
+    return StoreView(build_view(9, build_endpoint(1)), None, evacuations)
+
+
+def test_evacuations_survive_the_round_trip():
+    """Guards against evacuations that peers lose or take for others."""
+    view = build_evacuated_view()
+    assert decode_view(encode_view(view)) == view
+    with_routes = replace(view, routes=build_table(4))
+    assert decode_view(encode_view(with_routes)) == with_routes
+
+
+def test_evacuations_leave_the_rest_of_a_view_as_older_builds_know_it():
+    """Guards against a rolling upgrade in which older balancers cannot read
+    the views of newer ones, or newer ones take a missing key for no
+    evacuation."""
+    view = build_evacuated_view()
+    former = replace(view, evacuations=None)
+    document = json.loads(encode_view(view))
+    del document['evacuations']
+    assert document == json.loads(encode_view(former))
+    assert decode_view(json.dumps(document).encode()).evacuations is None
+
+
+@pytest.mark.parametrize(
+    'evacuations',
+    [3, [], [8, {}, []], [8, [], [], []], [8, {'b': 'x'}, [], []], 'abcd'],
+)
+def test_malformed_evacuations_reject_the_document(evacuations):
+    """Guards against a fetch of a peer's view that ends with an error."""
+    document = json.loads(encode_view(build_evacuated_view()))
+    document['evacuations'] = evacuations
+    assert decode_view(json.dumps(document).encode()) is None
+
+
 @pytest.mark.parametrize(
     'goals',
     [[[0.1, 1], [0.2, 2]], [[0.1]], [['soon', 1]], [[0.1, 1e400]], {'a': 1}],
--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -1,7 +1,8 @@
 """Codec of a balancer's view of the store, which peers fetch as JSON.
 
 The document has the endpoints of the whole view or, with ``base``, of the
-changes since that revision. ``routes`` is absent if the peer already has them.
+changes since that revision. ``routes`` is absent if the peer already has them,
+and ``evacuations`` if the sender does not know them.
 """
 
 import json
@@ -11,6 +12,7 @@
 from balsamshed.endpoints.directory import EndpointView
 from balsamshed.endpoints.endpoint import Endpoint
 from balsamshed.endpoints.history import EndpointChanges
+from balsamshed.evacuations.view import EvacuationView
 from balsamshed.peers.view import StoreView
 from balsamshed.routes.table import (
     Route,
@@ -70,7 +72,10 @@
     encode_table : callable
         Encodes its routes.
     """
-    content = _encode_json(_encode_endpoint_view(view.endpoints))
+    document = _encode_endpoint_view(view.endpoints)
+    if view.evacuations is not None:
+        document['evacuations'] = _encode_evacuations(view.evacuations)
+    content = _encode_json(document)
     if view.routes is None:
         return content
     return b'%s,"routes":%s}' % (content[:-1], encode_table(view.routes))
@@ -84,6 +89,7 @@
         return StoreView(
             _decode_endpoint_view(document),
             None if routes is None else _decode_routes(routes),
+            _decode_evacuations(document.get('evacuations')),
         )
     except _DECODE_ERRORS:
         return None
@@ -126,6 +132,27 @@
     ]
 
 
+def _encode_evacuations(view: EvacuationView) -> list[Any]:
+    return [
+        view.revision,
+        dict(view.listed),
+        sorted(view.unreadable),
+        sorted(view.kept),
+    ]
+
+
+def _decode_evacuations(row: Any) -> EvacuationView | None:
+    if row is None:
+        return None
+    revision, listed, unreadable, kept = row
+    return EvacuationView(
+        int(revision),
+        {name: int(number) for name, number in listed.items()},
+        frozenset(map(str, unreadable)),
+        frozenset(map(str, kept)),
+    )
+
+
 def _encode_json(document: dict[str, Any]) -> bytes:
     return json.dumps(document, separators=(',', ':')).encode()
 
--- a/balsamshed/commands/edges.py
+++ b/balsamshed/commands/edges.py
@@ -26,6 +26,7 @@
     'REVISION',
     'AGE',
     'ENDPOINTS',
+    'EVACUATED',
     'PEERS',
     'FINDINGS',
 )
@@ -121,8 +122,13 @@
         ),
         default=0,
     )
+    evacuated = {
+        data_centre
+        for summary in received
+        for data_centre in summary.get('evacuated', ())
+    }
     return {
-        address: _list_findings(summary, newest, newest_seconds)
+        address: _list_findings(summary, newest, newest_seconds, evacuated)
         for address, summary in summaries.items()
     }
 
@@ -131,6 +137,7 @@
     summary: Summary | SummaryFailure,
     newest: int,
     newest_seconds: float,
+    evacuated: set[str],
 ) -> list[str]:
     if isinstance(summary, SummaryFailure):
         return [summary.reason]
@@ -142,6 +149,11 @@
         findings.append('view was never confirmed')
     elif age > MAX_VIEW_AGE_SECONDS:
         findings.append(f'view is {age:.1f} s old')
+    missing = evacuated.difference(summary.get('evacuated', ()))
+    findings.extend(
+        f'does not follow the evacuation of {data_centre}'
+        for data_centre in sorted(missing)
+    )
     if not summary['is_ready']:
         findings.append('not ready')
     return findings
@@ -191,6 +203,8 @@
         summary['revision'],
         _format_seconds(summary['age_seconds']),
         f'{ready}/{len(endpoints)}',
+        # Balancers of older builds name none.
+        ', '.join(summary.get('evacuated', ())) or '-',
         len(summary['peers']),
     ]
 
--- a/balsamshed/commands/tests/test_edges.py
+++ b/balsamshed/commands/tests/test_edges.py
@@ -33,6 +33,15 @@
     assert evaluate_summaries(found)['b'] == ['lacks version 7 for 4.0 s']
 
 
+def test_balancer_that_does_not_follow_an_evacuation_is_reported():
+    """Guards against an evacuation that one balancer does not follow."""
+    found = {'a': build_summary(evacuated=['b']), 'b': build_summary()}
+    assert evaluate_summaries(found) == {
+        'a': [],
+        'b': ['does not follow the evacuation of b'],
+    }
+
+
 def test_all_findings_are_reported_together():
     """Guards against reporting only the first finding of a balancer."""
     found = {
--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -10,6 +10,7 @@
     SendReport,
     StopProcess,
 )
+from balsamshed.edge.evacuations import is_evacuation_read_due
 from balsamshed.edge.state import MAX_QUEUED_SECONDS, Edge, detect_pause
 from balsamshed.edge.views import apply_endpoint_changes
 from balsamshed.endpoints.directory import (
@@ -68,9 +69,10 @@
     for host in expire_peers(edge.peer_table, now):
         effects.append(LogEvent('peer_lost', {'peer': host}))
     rank = get_reader_rank(edge.peer_table)
-    if is_read_due(edge.reads, rank, edge.is_seed, now):
-        source = start_read(edge.reads, now)
-        effects.append(ReadSource(source, edge.reads.may_be_stale))
+    if is_read_due(
+        edge.reads, rank, edge.is_seed, now
+    ) or is_evacuation_read_due(edge, now):
+        effects.append(_start_read(edge, now))
     effects.extend(_update_suspected_cookies(edge, now))
     report = create_report(edge, now)
     targets = pick_report_targets(
@@ -119,6 +121,13 @@
     )
 
 
+def _start_read(edge: Edge, now: float) -> ReadSource:
+    edge.evacuations_read_at = now
+    follows_evacuations = edge.steering.options.follows_evacuations
+    source = start_read(edge.reads, now, follows_evacuations)
+    return ReadSource(source, edge.reads.may_be_stale)
+
+
 def _discard_old_packets(edge: Edge, now: float) -> list[EdgeEffect]:
     """Discard packets that have waited long for the first view."""
     waited_seconds = now - edge.packets_discarded_at
--- a/balsamshed/edge/peer_views.py
+++ b/balsamshed/edge/peer_views.py
@@ -3,6 +3,10 @@
 from typing import Final
 
 from balsamshed.edge.effects import EdgeEffect, FetchView, LogEvent
+from balsamshed.edge.evacuations import (
+    apply_known_evacuations,
+    create_evacuations_for_peer,
+)
 from balsamshed.edge.state import Edge, detect_pause
 from balsamshed.edge.views import (
     apply_endpoints,
@@ -69,7 +73,7 @@
 ) -> list[EdgeEffect]:
     """Apply what is newer of a peer's view of the store."""
     endpoints = view.endpoints
-    effects: list[EdgeEffect] = []
+    effects = apply_known_evacuations(edge, view.evacuations, now)
     if view.routes is not None:
         effects.extend(apply_routes(edge, view.routes, now))
     if endpoints.revision <= edge.reads.revision:
@@ -119,7 +123,11 @@
         tuple(history.endpoints.values()),
         history.max_revision,
     )
-    return StoreView(endpoints, routes if routes.version > version else None)
+    return StoreView(
+        endpoints,
+        routes if routes.version > version else None,
+        create_evacuations_for_peer(edge),
+    )
 
 
 def _end_fetch(edge: Edge) -> None:
--- a/balsamshed/edge/summaries.py
+++ b/balsamshed/edge/summaries.py
@@ -4,6 +4,7 @@
 
 from balsamshed.edge.state import Edge
 from balsamshed.endpoints.endpoint import Endpoint
+from balsamshed.evacuations.state import is_evacuated
 from balsamshed.store.polling import get_view_age
 from balsamshed.store.revisions import format_revision
 
@@ -23,8 +24,9 @@
     data_centre : str
         Data centre that it runs in.
     state : str
-        ``ready``, ``draining``, or ``missing`` if its entry expired during an
-        outage of the store and the endpoint is retained for a short time.
+        ``ready``, ``draining``, ``evacuated`` if its data centre is, or
+        ``missing`` if its entry expired during an outage of the store and the
+        endpoint is retained for a short time.
     is_suspected : bool
         Whether new flows avoid it because it left opening packets unanswered.
     in_flight : int
@@ -66,6 +68,8 @@
         Known endpoints, sorted by service and address.
     peers : tuple of str
         IPv4 addresses of the peers with a current report.
+    evacuated : tuple of str
+        Evacuated data centres, sorted.
     """
 
     name: str
@@ -78,6 +82,7 @@
     routes: int
     endpoints: tuple[EndpointSummary, ...]
     peers: tuple[str, ...]
+    evacuated: tuple[str, ...] = ()
 
 
 def summarize_edge(edge: Edge, name: str, now: float) -> EdgeSummary:
@@ -116,6 +121,7 @@
                 if peer.report is not None
             ),
         ),
+        evacuated=tuple(sorted(edge.steering.evacuations.in_force)),
     )
 
 
@@ -123,6 +129,8 @@
     tracker = edge.steering.load_tracker
     cookie = endpoint.cookie
     state = 'draining' if endpoint.is_draining else 'ready'
+    if is_evacuated(edge.steering.evacuations, endpoint):
+        state = 'evacuated'
     if endpoint.instance in edge.steering.directory.missing_since:
         state = 'missing'
     return EndpointSummary(
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -20,6 +20,10 @@
     explains_all_changes,
     record_view,
 )
+from balsamshed.evacuations.state import (
+    get_known_revision,
+    hold_evacuations,
+)
 from balsamshed.placement.in_flight import forget_endpoint
 from balsamshed.routes.table import RouteTable
 from balsamshed.steering.decisions import (
@@ -46,9 +50,15 @@
 
 
 def handle_revision(edge: Edge, revision: int) -> list[EdgeEffect]:
-    """Request the endpoints if the store's revision has changed."""
+    """Request the endpoints if the store's revision has changed.
+
+    The evacuations are known at that revision: either their list shows it, or
+    it was read alone because the list cannot be read and changes nothing.
+    """
+    if edge.steering.options.follows_evacuations:
+        hold_evacuations(edge.steering.evacuations, revision)
     if set_pending_revision(edge.reads, revision):
-        return [ReadSource(Source.ENDPOINTS)]
+        return [ReadSource(Source.ENDPOINTS, edge.reads.may_be_stale)]
     return _finish_store_read(edge)
 
 
@@ -63,10 +73,15 @@
     changes of the store: reading 3,000 unchanged routes after every change of
     an endpoint fills the link of a small VM.
     """
-    known_revision = edge.reads.revision
-    has_same_routes = explains_all_changes(edge.history, view, known_revision)
+    has_same_routes = explains_all_changes(
+        edge.history, view, edge.reads.revision
+    )
     effects = apply_endpoints(edge, view, now)
-    if set_pending_revision(edge.reads, view.revision) and not has_same_routes:
+    is_new = set_pending_revision(edge.reads, view.revision)
+    if edge.steering.options.follows_evacuations:
+        known_revision = get_known_revision(edge.steering.evacuations)
+        lower_pending_revision(edge.reads, known_revision)
+    if is_new and not has_same_routes:
         effects.append(ReadSource(Source.ROUTES, edge.reads.may_be_stale))
     else:
         effects.extend(_finish_store_read(edge))
--- /dev/null
+++ b/balsamshed/evacuations/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuations: data centres whose endpoints get no new flows."""
--- a/balsamshed/front_ends/edge_metrics.py
+++ b/balsamshed/front_ends/edge_metrics.py
@@ -100,6 +100,7 @@
         ),
         'endpoints_ready': sum(not known.is_draining for known in endpoints),
         'endpoints_draining': sum(known.is_draining for known in endpoints),
+        'data_centres_evacuated': len(steering.evacuations.in_force),
         'endpoints_missing': len(steering.directory.missing_since),
         'endpoints_suspected': sum(
             is_suspected(steering.load_tracker, cookie, now)
--- a/balsamshed/front_ends/tests/test_edge_errors.py
+++ b/balsamshed/front_ends/tests/test_edge_errors.py
@@ -4,8 +4,17 @@
 
 import pytest
 
-from balsamshed.edge.effects import FetchView, LogEvent, ReadSource
-from balsamshed.edge.tests.builders import build_edge, build_endpoint
+from balsamshed.edge.effects import (
+    AcceptPackets,
+    FetchView,
+    LogEvent,
+    ReadSource,
+)
+from balsamshed.edge.tests.builders import (
+    build_edge,
+    build_endpoint,
+    build_table,
+)
 from balsamshed.endpoints.directory import EndpointView
 from balsamshed.front_ends import edge_peers
 from balsamshed.front_ends.edge_context import (
@@ -18,6 +27,7 @@
 from balsamshed.front_ends.http_session import HttpResponse
 from balsamshed.front_ends.source_reader import ListPage, StoreFormat
 from balsamshed.front_ends.wire_format import WireFormat
+from balsamshed.steering.options import EdgeOptions
 from balsamshed.store.polling import Source, is_read_due, start_read
 
 INTERVAL_SECONDS = 0.001
@@ -44,6 +54,10 @@
     return EndpointView(1, (build_endpoint(1),), 1), ()
 
 
+def ignore_effect(_effect):
+    """Carry out nothing."""
+
+
 def build_process(**changes):
     """Return a process whose store answers every list with an empty page."""
     functions = dict.fromkeys(WireFormat.__dataclass_fields__)
@@ -67,6 +81,44 @@
     return process
 
 
+def test_evacuations_that_cannot_be_read_stop_no_read():
+    """Guards against one bad entry of evacuations that keeps a balancer from
+    drains and routes."""
+    asked = []
+
+    def decode_unless_evacuations(_body, _headers):
+        if asked[-1] is Source.EVACUATIONS:
+            return None
+        return ListPage((), 1, '')
+
+    process = build_process(
+        store_format=StoreFormat(
+            lambda effect, after: asked.append(effect.source) or '/',
+            decode_unless_evacuations,
+        ),
+        decode_routes=lambda _listing: build_table(1),
+    )
+    process.effect_handlers[AcceptPackets] = ignore_effect
+    process.edge.steering.options = EdgeOptions(follows_evacuations=True)
+    reads = process.edge.reads
+    source = start_read(reads, 0, follows_evacuations=True)
+    read_store(process, ReadSource(source))
+    assert asked == [
+        Source.EVACUATIONS,
+        Source.REVISION,
+        Source.ENDPOINTS,
+        Source.ROUTES,
+    ]
+    assert reads.revision == 1
+    assert process.counts['evacuations_rejected'] == 1
+    (line,) = [
+        line
+        for line in process.log_lines.lines
+        if b'event=evacuations_rejected' in line
+    ]
+    assert b'first=list:malformed' in line
+
+
 @pytest.mark.parametrize('function', ['decode_endpoints', 'decode_routes'])
 def test_error_while_a_read_is_applied_does_not_end_the_reads(function):
     """Guards against a balancer that never reads the store again."""
--- a/balsamshed/front_ends/wire_format.py
+++ b/balsamshed/front_ends/wire_format.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from balsamshed.endpoints.directory import EndpointView
+from balsamshed.evacuations.view import EvacuationView
 from balsamshed.front_ends.source_reader import SourceListing, StoreFormat
 from balsamshed.routes.table import RouteTable
 
@@ -32,6 +33,9 @@
         items.
     decode_routes : callable
         Decodes a listing; returns the routes, or a description of the error.
+    decode_evacuations : callable
+        Decodes a listing; returns the view and descriptions of rejected
+        items.
     store_format : StoreFormat
         Format of the store's API.
     ready_path : str
@@ -48,5 +52,9 @@
         tuple[EndpointView, tuple[str, ...]],
     ]
     decode_routes: Callable[[SourceListing], RouteTable | str]
+    decode_evacuations: Callable[
+        [SourceListing],
+        tuple[EvacuationView, tuple[str, ...]],
+    ]
     store_format: StoreFormat
     ready_path: str
--- a/balsamshed/peers/view.py
+++ b/balsamshed/peers/view.py
@@ -4,6 +4,7 @@
 
 from balsamshed.endpoints.directory import EndpointView
 from balsamshed.endpoints.history import EndpointChanges
+from balsamshed.evacuations.view import EvacuationView
 from balsamshed.routes.table import RouteTable
 
 
@@ -17,7 +18,10 @@
         All endpoints, or the changes since the peer's view.
     routes : RouteTable or None
         Routes in force; None if the peer has the same version.
+    evacuations : EvacuationView or None
+        Evacuations, at a revision of their own; None if they are not known.
     """
 
     endpoints: EndpointView | EndpointChanges
     routes: RouteTable | None
+    evacuations: EvacuationView | None = None
--- a/balsamshed/platform/entries.py
+++ b/balsamshed/platform/entries.py
@@ -91,6 +91,26 @@
     )
 
 
+def decode_evacuation(item: object) -> str | EntryRejection:
+    """Return the data centre that an object of kind ``evacuations`` names.
+
+    Parameters
+    ----------
+    item : object
+        Decoded object of the store.
+
+    Returns
+    -------
+    str or EntryRejection
+        The name of the data centre, or the first invalid field. Any name is
+        accepted, since the endpoints of a data centre may come later.
+    """
+    name, spec = _get_name_and_spec(item)
+    if not name:
+        return EntryRejection(name, 'name')
+    return name if spec is not None else EntryRejection(name, 'spec')
+
+
 def decode_routes(item: object) -> RouteTable | EntryRejection:
     """Decode the object ``config/main``.
 
--- a/balsamshed/platform/listing.py
+++ b/balsamshed/platform/listing.py
@@ -19,12 +19,13 @@
 _NO_HEADERS: Final[Mapping[str, str]] = {}
 _DIGITS: Final = re.compile('[0-9]{1,18}')
 _PLAIN_NAME: Final = re.compile('[A-Za-z0-9._-]+')
-#: Kind of object that each source lists. The last kind has no objects: its
-#: list is requested only for the store's revision.
+#: Kind of object that each source lists. That of the revision has no objects:
+#: its list is requested only for the store's revision.
 _OBJECT_KINDS: Final = {
     Source.ENDPOINTS: 'servers',
     Source.ROUTES: 'config',
     Source.REVISION: 'balsamshed',
+    Source.EVACUATIONS: 'evacuations',
 }
 
 
--- a/balsamshed/platform/tests/test_listing.py
+++ b/balsamshed/platform/tests/test_listing.py
@@ -5,13 +5,18 @@
 import pytest
 
 from balsamshed.edge.effects import ReadSource
+from balsamshed.evacuations.view import EvacuationView
 from balsamshed.front_ends.source_reader import ListPage, SourceListing
 from balsamshed.platform.listing import decode_page, format_list_path
 from balsamshed.platform.tests.test_entries import (
     build_configuration,
     build_entry,
 )
-from balsamshed.platform.wire import decode_configuration, decode_endpoints
+from balsamshed.platform.wire import (
+    decode_configuration,
+    decode_endpoints,
+    decode_evacuations,
+)
 from balsamshed.store.polling import Source
 from balsamshed.store.revisions import MAX_NUMBER, format_revision
 
@@ -59,6 +64,21 @@
     assert rejected == ('i-3:state', ':id')
 
 
+def test_evacuations_are_decoded_and_invalid_ones_reported():
+    """Guards against an invalid entry that evacuates a data centre, or hides
+    the entry of another one."""
+    items = (
+        {'meta': {'name': 'b', 'rev': 5}, 'spec': {}},
+        {'meta': {'name': 'c', 'rev': 6}, 'spec': 'all'},
+        {'meta': {'name': 'd'}, 'spec': {'since': 3}},
+        {'spec': {}},
+        'nonsense',
+    )
+    view, rejected = decode_evacuations(SourceListing(items, 9, 9))
+    assert view == EvacuationView(9, {'b': 5, 'd': -1}, frozenset(('c', '')))
+    assert rejected == ('c:spec', ':name', ':name')
+
+
 def test_configuration_is_found_by_its_name():
     """Guards against routes taken from another object of the same kind."""
     other = {**build_configuration(), 'meta': {'name': 'draft'}}
--- a/balsamshed/platform/wire.py
+++ b/balsamshed/platform/wire.py
@@ -4,11 +4,13 @@
 
 from balsamshed.endpoints.directory import EndpointView
 from balsamshed.endpoints.endpoint import Endpoint
+from balsamshed.evacuations.view import EvacuationView
 from balsamshed.front_ends.source_reader import SourceListing, StoreFormat
 from balsamshed.front_ends.wire_format import WireFormat
 from balsamshed.platform.entries import (
     EntryRejection,
     decode_endpoint,
+    decode_evacuation,
     decode_routes,
 )
 from balsamshed.platform.listing import (
@@ -42,6 +44,7 @@
         describe_flow=describe_flow,
         decode_endpoints=decode_endpoints,
         decode_routes=decode_configuration,
+        decode_evacuations=decode_evacuations,
         store_format=StoreFormat(format_list_path, decode_page),
         ready_path=READY_PATH,
     )
@@ -78,6 +81,28 @@
     return view, tuple(rejected)
 
 
+def decode_evacuations(
+    listing: SourceListing,
+) -> tuple[EvacuationView, tuple[str, ...]]:
+    """Return the evacuations of a listing and its rejected entries.
+
+    A rejected entry is given as ``name:field`` with its first invalid field.
+    """
+    listed: dict[str, int] = {}
+    rejected: list[EntryRejection] = []
+    for item in listing.items:
+        entry = decode_evacuation(item)
+        if isinstance(entry, EntryRejection):
+            rejected.append(entry)
+        else:
+            listed[entry] = get_object_revision(item)
+    unreadable = frozenset(entry.name for entry in rejected)
+    return (
+        EvacuationView(listing.revision, listed, unreadable),
+        tuple(f'{entry.name}:{entry.field}' for entry in rejected),
+    )
+
+
 def decode_configuration(listing: SourceListing) -> RouteTable | str:
     """Return the routes of a listing, or the reason why there are none."""
     for item in listing.items:
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -11,6 +11,11 @@
     list_available_endpoints,
 )
 from balsamshed.endpoints.endpoint import Endpoint
+from balsamshed.evacuations.state import (
+    EvacuationState,
+    exclude_evacuated,
+    is_evacuated,
+)
 from balsamshed.limits.admission import (
     OpeningRequest,
     ServiceLoad,
@@ -67,6 +72,7 @@
 _NO_ROUTE: Final = ResetFlow('no_route')
 _ROUTE_REMOVED: Final = ResetFlow('route_removed')
 _NO_ENDPOINT: Final = ResetFlow('no_endpoint')
+_EVACUATED: Final = ResetFlow('data_centre_evacuated')
 _ENDPOINT_UNRESPONSIVE: Final = ResetFlow('endpoint_unresponsive')
 _UNKNOWN_ROUTE: Final = DropPacket('unknown_route')
 _UNKNOWN_COOKIE: Final = DropPacket('unknown_cookie')
@@ -94,6 +100,8 @@
         Durations and free slots of each service.
     latency_samples : deque of LatencySample
         Latest samples that the metrics have not yet read.
+    evacuations : EvacuationState
+        Data centres whose endpoints get no new flows.
     options : EdgeOptions
         Optional parts that are switched on.
     """
@@ -108,6 +116,7 @@
     latency_samples: deque[LatencySample] = field(
         default_factory=lambda: deque(maxlen=MAX_LATENCY_SAMPLES),
     )
+    evacuations: EvacuationState = field(default_factory=EvacuationState)
     options: EdgeOptions = NO_OPTIONS
 
 
@@ -258,7 +267,7 @@
     if previous is not None and previous.stage is RequestStage.OPENING:
         if now - previous.started_at < MIN_RETRANSMISSION_SECONDS:
             endpoint = _find_on_route(steering, route, previous.cookie)
-            if endpoint is not None and not endpoint.is_draining:
+            if endpoint is not None and _takes_new_flows(steering, endpoint):
                 return ForwardFlow(endpoint, previous.cookie)
         elif packet.attempt:
             avoided_cookie = previous.cookie
@@ -269,9 +278,13 @@
     service = _choose_service(steering, route)
     if service is None:
         return _NO_ENDPOINT
+    available = list_available_endpoints(steering.directory, service)
+    permitted = exclude_evacuated(steering.evacuations, service, available)
+    if available and not permitted:
+        return _EVACUATED
     endpoint = choose_least_loaded(
         steering.load_tracker,
-        list_available_endpoints(steering.directory, service),
+        permitted,
         avoided_cookie,
         steering.randbelow,
         now,
@@ -286,6 +299,12 @@
     return ForwardFlow(endpoint, cookie)
 
 
+def _takes_new_flows(steering: Steering, endpoint: Endpoint) -> bool:
+    if endpoint.is_draining:
+        return False
+    return not is_evacuated(steering.evacuations, endpoint)
+
+
 def _review_load(
     steering: Steering,
     packet: FlowPacket,
--- a/balsamshed/steering/tests/test_decisions.py
+++ b/balsamshed/steering/tests/test_decisions.py
@@ -13,6 +13,8 @@
     build_view,
 )
 from balsamshed.endpoints.directory import apply_view
+from balsamshed.evacuations.state import apply_evacuations
+from balsamshed.evacuations.view import EvacuationView
 from balsamshed.limits.admission import ServiceLoad
 from balsamshed.peers.table import PeerTable
 from balsamshed.placement.in_flight import is_suspected
@@ -212,6 +214,50 @@
     assert steer_packet(steering, data, 0).endpoint == FIRST
 
 
+def evacuate(steering, *data_centres):
+    revision = steering.evacuations.revision + 1
+    view = EvacuationView(revision, dict.fromkeys(data_centres, revision))
+    apply_evacuations(steering.evacuations, view, 0)
+
+
+def test_evacuated_data_centre_gets_no_opening_and_keeps_its_flows():
+    """Guards against new flows in an evacuated data centre, and against open
+    flows that are moved."""
+    far = build_endpoint(3, data_centre='b')
+    steering = build_steering(FIRST, far)
+    evacuate(steering, 'a')
+    for flow in range(2, 8):
+        effect = steer_packet(steering, build_packet(flow=flow), 0)
+        assert effect.endpoint == far
+    data = build_packet(PacketKind.DATA, cookie=FIRST.cookie)
+    assert steer_packet(steering, data, 0).endpoint == FIRST
+    evacuate(steering)
+    effect = steer_packet(steering, build_packet(flow=9), 0)
+    assert effect.endpoint == FIRST
+
+
+def test_repeated_opening_leaves_an_evacuated_data_centre():
+    """Guards against copies of an opening that follow the first one into a
+    data centre that is evacuated by then."""
+    far = build_endpoint(3, data_centre='b')
+    steering = build_steering(FIRST, far)
+    assert steer_packet(steering, build_packet(), 0).endpoint == FIRST
+    evacuate(steering, 'a')
+    duplicate = steer_packet(steering, build_packet(), 0.05)
+    assert duplicate.endpoint == far
+    repeated = steer_packet(steering, build_packet(attempt=1), 0.3)
+    assert repeated.endpoint == far
+
+
+def test_opening_is_refused_at_once_if_all_data_centres_are_evacuated():
+    """Guards against callers that wait while no endpoint may take them."""
+    steering = build_steering(FIRST, build_endpoint(3, data_centre='b'))
+    evacuate(steering, 'a', 'b')
+    effect = steer_packet(steering, build_packet(), 0)
+    assert effect == ResetFlow('data_centre_evacuated')
+    assert not steering.requests.pending
+
+
 def build_busy_steering():
     """Return a balancer whose only endpoint has had no free slot for long."""
     steering = build_steering(build_endpoint(1))
--- a/balsamshed/store/polling.py
+++ b/balsamshed/store/polling.py
@@ -51,6 +51,7 @@
     """Data that is read from the store or from a peer."""
 
     REVISION = 'revision'
+    EVACUATIONS = 'evacuations'
     ENDPOINTS = 'endpoints'
     ROUTES = 'routes'
     PEER_VIEW = 'peer_view'
@@ -131,19 +132,34 @@
     return now - since >= delay
 
 
-def start_read(state: ReadState, now: float) -> Source:
+def start_read(
+    state: ReadState, now: float, follows_evacuations: bool = False
+) -> Source:
     """Record the start of a read.
 
+    Parameters
+    ----------
+    state : ReadState
+        Changed in place.
+    now : float
+        Seconds of the balancer's clock.
+    follows_evacuations : bool
+        Whether each read begins with the evacuations. Their list is short and
+        shows the store's revision, so it takes the place of that call.
+
     Returns
     -------
     Source
-        The data to read first: endpoints without a view, else the revision.
+        The data to read first: evacuations if they are followed, else
+        endpoints without a view and the revision with one.
     """
     state.started_at = now
     is_first = state.revision < 0
     state.may_be_stale = (
         is_first and state.consecutive_failures < MAX_STALE_READ_ATTEMPTS
     )
+    if follows_evacuations:
+        return Source.EVACUATIONS
     return Source.ENDPOINTS if is_first else Source.REVISION
 
 
--- a/testbed/edge_site.py
+++ b/testbed/edge_site.py
@@ -98,6 +98,8 @@
         self.peer_port = next(self.free_ports)
         self.store_port = next(self.free_ports)
         self.metrics_port = next(self.free_ports)
+        #: Options in the settings of the balancers that start next.
+        self.options: dict[str, Any] = {}
         #: Ports of the proxies through which balancers reach the store.
         self.store_ports: dict[int, int] = {}
         # All callers share this port, which also receives the resets.
@@ -140,7 +142,9 @@
         }
         put_object(self.store, 'config', 'main', spec)
 
-    async def start_endpoint(self, number: int, service: str = 'web') -> None:
+    async def start_endpoint(
+        self, number: int, service: str = 'web', data_centre: str = 'a'
+    ) -> None:
         """Start an endpoint and write its entry to the store."""
         port = next(self.free_ports)
         endpoint = RecordingEndpoint(port)
@@ -149,7 +153,7 @@
             local_addr=('127.0.0.1', port),
         )
         self.endpoints[number] = endpoint
-        self.write_entry(number, service=service)
+        self.write_entry(number, service=service, data_centre=data_centre)
 
     def write_entry(
         self,
@@ -157,12 +161,13 @@
         state: str = 'ready',
         sequence: int = 1,
         service: str = 'web',
+        data_centre: str = 'a',
     ) -> None:
         """Write an endpoint's entry to the store."""
         spec = {
             'service': service,
             'address': f'127.0.0.1:{self.endpoints[number].port}',
-            'zone': 'a',
+            'zone': data_centre,
             'version': 'v1',
             'maxConcurrency': 2,
             'state': state,
@@ -187,6 +192,7 @@
             'seeds': [f'{get_host(1)}:{self.peer_port}'],
             'flow_lifetime_seconds': 60,
             'grace_seconds': 6,
+            'options': self.options,
         }
         file = self.folder / f'edge-{number}.json'
         file.write_text(json.dumps(settings))
--- a/testbed/tests/test_edge_processes.py
+++ b/testbed/tests/test_edge_processes.py
@@ -24,7 +24,11 @@
     open_site,
     wait_until,
 )
-from testbed.metadata_store import take_snapshot
+from testbed.metadata_store import (
+    delete_object,
+    put_object,
+    take_snapshot,
+)
 
 
 async def check_whole_path(site):
@@ -142,6 +146,54 @@
         asyncio.run(check_outage(site))
 
 
+async def check_evacuation(site):
+    site.options = {'follow_evacuations': True}
+    await site.start_store()
+    await site.start_endpoint(1, data_centre='a')
+    await site.start_endpoint(2, data_centre='b')
+    hosts = [site.start_balancer(number) for number in (1, 2)]
+    for host in hosts:
+        await wait_until(lambda host=host: site.is_ready(host), 'ready')
+    _, cookie = await open_flow(site, hosts[0], 5300)
+    put_object(site.store, 'evacuations', 'a', {})
+    for number in (1, 2):
+        await wait_until(
+            lambda number=number: has_event(site, number, 'evacuation_begun'),
+            'an evacuation',
+        )
+    site.store.response_status = 503
+    for process in site.processes.values():
+        assert process.poll() is None
+    site.processes[2].kill()
+    site.processes[2].wait()
+    # A balancer that starts during the outage learns of it from its peer.
+    hosts.append(site.start_balancer(3))
+    await wait_until(lambda: site.is_ready(hosts[2]), 'ready without a store')
+    for flow, host in enumerate((hosts[0], hosts[2]) * 4, start=5400):
+        assert (await open_flow(site, host, flow))[0] == 2
+    site.send_packet(hosts[2], build_packet(ACK, 5300, cookie, b'request'))
+    await wait_until(lambda: site.endpoints[1].received, 'data of a flow')
+    site.store.response_status = 200
+    delete_object(site.store, 'evacuations', 'a')
+    await wait_until(
+        lambda: has_event(site, 3, 'evacuation_ended'), 'the return'
+    )
+    assert (await open_flow(site, hosts[2], 5500))[0] == 1
+
+
+def has_event(site, number, name):
+    return any(event['event'] == name for event in site.read_events(number))
+
+
+def test_evacuation_is_known_to_a_balancer_that_starts_without_a_store(
+    tmp_path,
+):
+    """Guards against openings to an evacuated data centre through a balancer
+    that starts while the store is down, and against one that never ends."""
+    with open_site(tmp_path) as site:
+        asyncio.run(check_evacuation(site))
+
+
 async def check_stop(site):
     await site.start_store()
     await site.start_endpoint(1)
--- /dev/null
+++ b/testbed/tests/test_evacuation_exchange.py
@@ -0,0 +1,144 @@
+"""State machine test of how balancers pass evacuations on."""
+
+import json
+from functools import partial
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, invariant, rule
+
+from balsamshed.edge.evacuations import (
+    handle_evacuations,
+    is_evacuation_read_due,
+)
+from balsamshed.edge.tests.builders import (
+    build_edge,
+    build_table,
+    build_view,
+)
+from balsamshed.edge.views import handle_endpoints, handle_routes
+from balsamshed.evacuations.view import EvacuationView
+from balsamshed.peers.table import add_peer_addresses
+from balsamshed.steering.options import EdgeOptions
+from balsamshed.store.polling import (
+    READ_INTERVAL_SECONDS,
+    set_pending_revision,
+    start_read,
+)
+from testbed.tests.test_view_exchange import BALANCERS, ViewExchangeMachine
+
+DATA_CENTRES = st.sampled_from('ab')
+OPTIONS = EdgeOptions(follows_evacuations=True)
+
+
+class EvacuationExchangeMachine(ViewExchangeMachine):
+    """Balancers that exchange views while data centres are evacuated."""
+
+    @initialize()
+    def start_without_evacuations(self):
+        """Start with a store that lists no evacuations."""
+        self.evacuated = {}
+        self.evacuated_at = {1: frozenset()}
+
+    def start(self, host):
+        """Return a balancer that has just started."""
+        edge = build_edge(host, now=self.now, options=OPTIONS)
+        add_peer_addresses(edge.peer_table, self.hosts, self.now)
+        return edge
+
+    def record_revision(self):
+        """Record what the store lists after a change."""
+        super().record_revision()
+        self.evacuated_at[self.revision] = frozenset(self.evacuated)
+
+    def read(self, host):
+        """Answer a read of the store at once."""
+        edge = self.edges[host]
+        start_read(edge.reads, self.now, follows_evacuations=True)
+        view = EvacuationView(self.revision, dict(self.evacuated))
+        handle_evacuations(edge, view, self.now)
+        if edge.reads.started_at is None:
+            return
+        endpoints = build_view(self.revision, *self.listed.values())
+        handle_endpoints(edge, endpoints, self.now)
+        handle_routes(edge, build_table(1), self.now)
+
+    @rule(data_centre=DATA_CENTRES)
+    def evacuate(self, data_centre):
+        """An operator evacuates a data centre."""
+        if data_centre not in self.evacuated:
+            self.evacuated[data_centre] = self.revision + 1
+            self.record_revision()
+
+    @rule(data_centre=DATA_CENTRES)
+    def take_back(self, data_centre):
+        """An operator ends an evacuation."""
+        if self.evacuated.pop(data_centre, None) is not None:
+            self.record_revision()
+
+    @rule(first=BALANCERS, second=BALANCERS, data_centre=DATA_CENTRES)
+    def take_back_unseen(self, first, second, data_centre):
+        """An evacuation ends between the reads of two balancers."""
+        self.evacuate(data_centre)
+        self.read(self.pick_host(first))
+        self.take_back(data_centre)
+        self.read(self.pick_host(second))
+
+    @rule(position=st.integers(0, 7))
+    def answer_as_older_build(self, position):
+        """A holder of an older build answers, without evacuations."""
+        if not self.fetches:
+            return
+        self.answer_fetch(position)
+        host, body = self.answers.pop()
+        document = json.loads(body)
+        document.pop('evacuations', None)
+        self.answers.append((host, json.dumps(document).encode()))
+
+    @rule()
+    def complete_views(self):
+        """Balancers that lack evacuations read the store."""
+        self.now += READ_INTERVAL_SECONDS
+        for host, edge in self.edges.items():
+            if is_evacuation_read_due(edge, self.now):
+                self.read(host)
+            state = edge.steering.evacuations
+            assert state.revision >= edge.reads.revision
+
+    @invariant()
+    def evacuations_are_those_of_the_store(self):
+        """Evacuations are what the store listed at their revision."""
+        for edge in self.edges.values():
+            state = edge.steering.evacuations
+            expected = self.evacuated_at.get(state.revision, frozenset())
+            assert state.in_force == expected
+
+
+EvacuationExchangeMachine.TestCase.settings = settings(
+    max_examples=100,
+    stateful_step_count=50,
+    deadline=None,
+)
+TestEvacuationExchange = EvacuationExchangeMachine.TestCase
+
+
+def read_with_change(edge, evacuations, endpoint_revision, now):
+    """Let a balancer read lists between which the store changes."""
+    start_read(edge.reads, now, follows_evacuations=True)
+    handle_evacuations(edge, evacuations, now)
+    handle_endpoints(edge, build_view(endpoint_revision), now)
+    handle_routes(edge, build_table(1), now, endpoint_revision)
+
+
+def test_evacuation_within_a_read_is_found_by_the_next_one():
+    """Guards against a balancer that never reads an evacuation that was
+    written between the calls of its own read."""
+    edge = build_edge(options=OPTIONS)
+    read = partial(read_with_change, edge)
+    read(EvacuationView(3), 4, 0)
+    assert edge.reads.revision == 3
+    # The next poll shows revision 4, which counts as a change.
+    assert set_pending_revision(edge.reads, 4)
+    read(EvacuationView(4, {'b': 4}), 4, 1)
+    assert edge.reads.revision == 4
+    assert edge.steering.evacuations.in_force == {'b'}
