Check that views of evacuations never go back in the state machine

The machine passed with the comparison of revisions removed: an older answer seldom arrived after a newer read. A rule brings both about, and an invariant follows each balancer's revision; the same removal fails now.

--- a/testbed/tests/test_evacuation_exchange.py
+++ b/testbed/tests/test_evacuation_exchange.py
@@ -39,6 +39,7 @@
         """Start with a store that lists no evacuations."""
         self.evacuated = {}
         self.evacuated_at = {1: frozenset()}
+        self.last_seen = {}
 
     def start(self, host):
         """Return a balancer that has just started."""
@@ -84,6 +85,20 @@
         self.take_back(data_centre)
         self.read(self.pick_host(second))
 
+    @rule(holder=BALANCERS, reader=BALANCERS, data_centre=DATA_CENTRES)
+    def read_before_an_answer(self, holder, reader, data_centre):
+        """A balancer reads a change before an older answer arrives."""
+        source, target = self.pick_host(holder), self.pick_host(reader)
+        self.evacuate(data_centre)
+        self.read(source)
+        self.report(source, target)
+        while self.fetches:
+            self.answer_fetch(0)
+        self.take_back(data_centre)
+        self.read(target)
+        while self.answers:
+            self.deliver_answer(0, is_repeated=False)
+
     @rule(position=st.integers(0, 7))
     def answer_as_older_build(self, position):
         """A holder of an older build answers, without evacuations."""
@@ -113,6 +128,16 @@
             expected = self.evacuated_at.get(state.revision, frozenset())
             assert state.in_force == expected
 
+    @invariant()
+    def evacuations_never_go_back(self):
+        """A balancer never returns to an earlier list of evacuations."""
+        for host, edge in self.edges.items():
+            former, revision = self.last_seen.get(host, (None, -1))
+            state = edge.steering.evacuations
+            if former is edge:
+                assert state.revision >= revision
+            self.last_seen[host] = edge, state.revision
+
 
 EvacuationExchangeMachine.TestCase.settings = settings(
     max_examples=100,
