--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -7,9 +7,15 @@
 from balsamshed.endpoints.directory import (
     EndpointDirectory,
     find_endpoint,
+    find_endpoint_of_any_service,
     list_available_endpoints,
 )
 from balsamshed.endpoints.endpoint import Endpoint
+from balsamshed.evacuations.state import (
+    EvacuationState,
+    exclude_evacuated,
+    is_evacuated,
+)
 from balsamshed.limits.admission import (
     OpeningRequest,
     ServiceLoad,
@@ -66,6 +72,7 @@
 _NO_ROUTE: Final = ResetFlow('no_route')
 _ROUTE_REMOVED: Final = ResetFlow('route_removed')
 _NO_ENDPOINT: Final = ResetFlow('no_endpoint')
+_EVACUATED: Final = ResetFlow('data_centre_evacuated')
 _ENDPOINT_UNRESPONSIVE: Final = ResetFlow('endpoint_unresponsive')
 _UNKNOWN_ROUTE: Final = DropPacket('unknown_route')
 _UNKNOWN_COOKIE: Final = DropPacket('unknown_cookie')
@@ -89,13 +96,12 @@
         Routes in force.
     removed_listeners : set of int
         Keys of listeners whose routes were removed by a newer version.
-    previous_services : dict of int to set of str
-        Services that earlier versions assigned to a listener, by listener
-        key. Open flows stay at their endpoints when the services change.
     service_loads : dict of str to ServiceLoad
         Durations and free slots of each service.
     latency_samples : deque of LatencySample
         Latest samples that the metrics have not yet read.
+    evacuations : EvacuationState
+        Data centres whose endpoints get no new flows.
     options : EdgeOptions
         Optional parts that are switched on.
     """
@@ -106,11 +112,11 @@
     randbelow: RandBelow
     routes: RouteTable = field(default_factory=RouteTable)
     removed_listeners: set[int] = field(default_factory=set)
-    previous_services: dict[int, set[str]] = field(default_factory=dict)
     service_loads: dict[str, ServiceLoad] = field(default_factory=dict)
     latency_samples: deque[LatencySample] = field(
         default_factory=lambda: deque(maxlen=MAX_LATENCY_SAMPLES),
     )
+    evacuations: EvacuationState = field(default_factory=EvacuationState)
     options: EdgeOptions = NO_OPTIONS
 
 
@@ -189,7 +195,12 @@
         return _open_flow(steering, packet, route, now)
     endpoint = _find_on_route(steering, route, packet.cookie)
     if endpoint is None:
-        endpoint = _find_on_previous_services(steering, packet)
+        # An earlier version may have sent new flows to another service, and
+        # this balancer may have started since. An endpoint resets packets of
+        # flows that it does not hold, so a forged cookie opens nothing.
+        endpoint = find_endpoint_of_any_service(
+            steering.directory, packet.cookie
+        )
     if endpoint is None:
         return _UNKNOWN_COOKIE
     _track_request(steering, packet, endpoint.service, now)
@@ -222,7 +233,6 @@
     if choose_newer(previous, table) is previous:
         return False
     steering.routes = table
-    _record_previous_services(steering, previous)
     steering.removed_listeners.update(previous.routes)
     steering.removed_listeners.difference_update(table.routes)
     for service in steering.service_loads.keys() - table.services:
@@ -230,14 +240,6 @@
     return True
 
 
-def _record_previous_services(steering: Steering, previous: RouteTable) -> None:
-    for listener, route in previous.routes.items():
-        current = steering.routes.routes.get(listener)
-        if current is not None and current.shares != route.shares:
-            services = steering.previous_services.setdefault(listener, set())
-            services.update(share.service for share in route.shares)
-
-
 def _classify_unrouted(
     steering: Steering,
     packet: FlowPacket,
@@ -265,7 +267,7 @@
     if previous is not None and previous.stage is RequestStage.OPENING:
         if now - previous.started_at < MIN_RETRANSMISSION_SECONDS:
             endpoint = _find_on_route(steering, route, previous.cookie)
-            if endpoint is not None and not endpoint.is_draining:
+            if endpoint is not None and _takes_new_flows(steering, endpoint):
                 return ForwardFlow(endpoint, previous.cookie)
         elif packet.attempt:
             avoided_cookie = previous.cookie
@@ -276,9 +278,13 @@
     service = _choose_service(steering, route)
     if service is None:
         return _NO_ENDPOINT
+    available = list_available_endpoints(steering.directory, service)
+    permitted = exclude_evacuated(steering.evacuations, service, available)
+    if available and not permitted:
+        return _EVACUATED
     endpoint = choose_least_loaded(
         steering.load_tracker,
-        list_available_endpoints(steering.directory, service),
+        permitted,
         avoided_cookie,
         steering.randbelow,
         now,
@@ -293,6 +299,12 @@
     return ForwardFlow(endpoint, cookie)
 
 
+def _takes_new_flows(steering: Steering, endpoint: Endpoint) -> bool:
+    if endpoint.is_draining:
+        return False
+    return not is_evacuated(steering.evacuations, endpoint)
+
+
 def _review_load(
     steering: Steering,
     packet: FlowPacket,
@@ -370,17 +382,6 @@
     )
 
 
-def _find_on_previous_services(
-    steering: Steering,
-    packet: FlowPacket,
-) -> Endpoint | None:
-    for service in steering.previous_services.get(packet.listener, ()):
-        endpoint = find_endpoint(steering.directory, service, packet.cookie)
-        if endpoint is not None:
-            return endpoint
-    return None
-
-
 def _track_request(
     steering: Steering,
     packet: FlowPacket,
--- a/testbed/edge_site.py
+++ b/testbed/edge_site.py
@@ -98,6 +98,8 @@
         self.peer_port = next(self.free_ports)
         self.store_port = next(self.free_ports)
         self.metrics_port = next(self.free_ports)
+        #: Options in the settings of the balancers that start next.
+        self.options: dict[str, Any] = {}
         #: Ports of the proxies through which balancers reach the store.
         self.store_ports: dict[int, int] = {}
         # All callers share this port, which also receives the resets.
@@ -115,17 +117,20 @@
             self.store_port,
         )
 
-    def write_configuration(self, version: int, *more_ports: int) -> None:
+    def write_configuration(
+        self, version: int, *more_ports: int, service: str = 'web'
+    ) -> None:
         """Write a configuration with one route per port.
 
-        The service port always has a route; ``more_ports`` get one each.
+        The service port always has a route; ``more_ports`` get one each. All
+        of them send new flows to ``service``.
         """
         routes = [
             {
                 'name': f'r{port}',
                 'host': SERVICE_HOST,
                 'pathPrefix': f'/{port}/',
-                'service': 'web',
+                'service': service,
                 'timeoutMs': 1000,
             }
             for port in (SERVICE_PORT, *more_ports)
@@ -133,11 +138,13 @@
         spec = {
             'version': version,
             'routes': routes,
-            'services': [{'name': 'web'}],
+            'services': [{'name': service}],
         }
         put_object(self.store, 'config', 'main', spec)
 
-    async def start_endpoint(self, number: int) -> None:
+    async def start_endpoint(
+        self, number: int, service: str = 'web', data_centre: str = 'a'
+    ) -> None:
         """Start an endpoint and write its entry to the store."""
         port = next(self.free_ports)
         endpoint = RecordingEndpoint(port)
@@ -146,16 +153,21 @@
             local_addr=('127.0.0.1', port),
         )
         self.endpoints[number] = endpoint
-        self.write_entry(number)
+        self.write_entry(number, service=service, data_centre=data_centre)
 
     def write_entry(
-        self, number: int, state: str = 'ready', sequence: int = 1
+        self,
+        number: int,
+        state: str = 'ready',
+        sequence: int = 1,
+        service: str = 'web',
+        data_centre: str = 'a',
     ) -> None:
         """Write an endpoint's entry to the store."""
         spec = {
-            'service': 'web',
+            'service': service,
             'address': f'127.0.0.1:{self.endpoints[number].port}',
-            'zone': 'a',
+            'zone': data_centre,
             'version': 'v1',
             'maxConcurrency': 2,
             'state': state,
@@ -180,6 +192,7 @@
             'seeds': [f'{get_host(1)}:{self.peer_port}'],
             'flow_lifetime_seconds': 60,
             'grace_seconds': 6,
+            'options': self.options,
         }
         file = self.folder / f'edge-{number}.json'
         file.write_text(json.dumps(settings))
