Spare a second read where only endpoints changed within the first

Change: if changes of endpoints account for every revision since the former view, no evacuation has changed in between either, and the evacuations count as known at the later revision. A removed evacuation beside a removed endpoint leaves one revision over, so it is not taken for that: a test shows it.

--- a/balsamshed/edge/tests/test_evacuations.py
+++ b/balsamshed/edge/tests/test_evacuations.py
@@ -20,6 +20,7 @@
     handle_revision,
     handle_routes,
 )
+from balsamshed.endpoints.directory import EndpointView
 from balsamshed.evacuations.view import EvacuationView
 from balsamshed.peers.view import StoreView
 from balsamshed.steering.options import EdgeOptions
@@ -100,6 +101,39 @@
     assert create_view_for_peer(edge).endpoints.revision == 4
 
 
+def test_change_of_an_endpoint_within_a_read_costs_no_second_read():
+    """Guards against reads of the store in which balancers that wait too long
+    for a slow one all join, since changes of endpoints seemed to hide others.
+    """
+    edge = build_following_edge()
+    start_with_view(edge, 3)
+    handle_tick(edge, 5)
+    handle_evacuations(edge, EvacuationView(4), 5)
+    view = EndpointView(
+        5,
+        (build_endpoint(1), build_endpoint(2)),
+        5,
+        frozenset((4, 5)),
+    )
+    assert not list_reads(handle_endpoints(edge, view, 5))
+    assert edge.reads.revision == 5
+    assert create_view_for_peer(edge).evacuations.revision == 5
+
+
+def test_removal_of_an_endpoint_does_not_explain_that_of_an_evacuation():
+    """Guards against a balancer that keeps an evacuation whose entry was
+    removed together with that of an endpoint, between the calls of a read."""
+    edge = build_following_edge()
+    start_with_view(edge, 3)
+    handle_tick(edge, 5)
+    handle_evacuations(edge, EvacuationView(4), 5)
+    # The endpoint was removed at revision 4, the evacuation at revision 5.
+    effects = handle_endpoints(edge, build_view(5), 5)
+    assert list_reads(effects) == [Source.ROUTES]
+    handle_routes(edge, build_table(1), 5, 5)
+    assert edge.reads.revision == 4
+
+
 def test_peer_view_brings_evacuations():
     """Guards against a balancer that starts while the store is down and sends
     openings to an evacuated data centre."""
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -21,6 +21,7 @@
     record_view,
 )
 from balsamshed.evacuations.state import (
+    extend_evacuations,
     get_known_revision,
     hold_evacuations,
 )
@@ -73,14 +74,18 @@
     changes of the store: reading 3,000 unchanged routes after every change of
     an endpoint fills the link of a small VM.
     """
-    has_same_routes = explains_all_changes(
-        edge.history, view, edge.reads.revision
-    )
+    known_revision = edge.reads.revision
+    has_same_routes = explains_all_changes(edge.history, view, known_revision)
+    if has_same_routes:
+        extend_evacuations(
+            edge.steering.evacuations, known_revision, view.revision
+        )
     effects = apply_endpoints(edge, view, now)
     is_new = set_pending_revision(edge.reads, view.revision)
     if edge.steering.options.follows_evacuations:
-        known_revision = get_known_revision(edge.steering.evacuations)
-        lower_pending_revision(edge.reads, known_revision)
+        lower_pending_revision(
+            edge.reads, get_known_revision(edge.steering.evacuations)
+        )
     if is_new and not has_same_routes:
         effects.append(ReadSource(Source.ROUTES, edge.reads.may_be_stale))
     else:
--- a/balsamshed/evacuations/state.py
+++ b/balsamshed/evacuations/state.py
@@ -119,6 +119,22 @@
     state.checked_revision = max(state.checked_revision, revision)
 
 
+def extend_evacuations(
+    state: EvacuationState, since_revision: int, revision: int
+) -> None:
+    """Record that no evacuation has changed between two revisions.
+
+    Parameters
+    ----------
+    state : EvacuationState
+        Changed in place; stays as it is if it is older than the first one.
+    since_revision, revision : int
+        Revisions between which only other objects have changed.
+    """
+    if state.revision >= since_revision:
+        state.revision = max(state.revision, revision)
+
+
 def get_known_revision(state: EvacuationState) -> int:
     """Return the revision up to which the evacuations here are the store's."""
     return max(state.revision, state.checked_revision)
