Limit what all balancers open at an endpoint that warms up

Cause: a start of an endpoint drew the openings of all balancers at once, and nothing bounded them. The policies of services travel with the routes. Off by default.

--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -15,6 +15,7 @@
 from balsamshed.routes.table import (
     Route,
     RouteTable,
+    ServicePolicy,
     ServiceShare,
     create_route_table,
 )
@@ -131,7 +132,7 @@
 
 
 def _encode_table(routes: RouteTable) -> dict[str, Any]:
-    return {
+    document: dict[str, Any] = {
         'version': routes.version,
         'services': sorted(routes.services),
         'routes': [
@@ -155,6 +156,12 @@
             if route.is_idempotent
         ],
     }
+    if routes.policies:
+        document['policies'] = {
+            name: [policy.warm_up_seconds, policy.warm_up_rate]
+            for name, policy in sorted(routes.policies.items())
+        }
+    return document
 
 
 def _decode_endpoint_view(document: Any) -> EndpointView | EndpointChanges:
@@ -188,7 +195,13 @@
         _decode_route(row, goal, is_idempotent=position in idempotent)
         for position, (row, goal) in enumerate(zip(rows, goals, strict=True))
     ]
-    return create_route_table(document['version'], routes, document['services'])
+    policies = {
+        name: ServicePolicy(float(seconds), float(rate))
+        for name, (seconds, rate) in document.get('policies', {}).items()
+    }
+    return create_route_table(
+        document['version'], routes, document['services'], policies
+    )
 
 
 def _decode_route(row: Any, goal: Any, is_idempotent: bool) -> Route:
--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -27,6 +27,11 @@
     pick_report_targets,
     pick_shared_addresses,
 )
+from balsamshed.placement.cold_starts import (
+    distrust_fleet,
+    end_warm_ups,
+    update_fleet,
+)
 from balsamshed.placement.in_flight import EndpointLoadTracker, is_suspected
 from balsamshed.steering.path_loss import is_path_lossy
 from balsamshed.steering.requests import PendingRequest, expire_requests
@@ -67,6 +72,7 @@
     effects.extend(apply_endpoint_changes(steering, changes, now))
     for host in expire_peers(edge.peer_table, now):
         effects.append(LogEvent('peer_lost', {'peer': host}))
+    effects.extend(_update_cold_starts(edge, pause, now))
     rank = get_reader_rank(edge.peer_table)
     if is_read_due(edge.reads, rank, edge.is_seed, now):
         source = start_read(edge.reads, now)
@@ -114,7 +120,11 @@
             )
             for cookie in cookies
         ),
-        pick_shared_addresses(edge.peer_table, edge.randbelow),
+        pick_shared_addresses(
+            edge.peer_table,
+            edge.randbelow,
+            includes_silent=edge.steering.cold_starts is not None,
+        ),
         edge.steering.routes.version,
     )
 
@@ -128,6 +138,21 @@
     return [DiscardPackets()]
 
 
+def _update_cold_starts(
+    edge: Edge, pause: float, now: float
+) -> list[EdgeEffect]:
+    cold_starts = edge.steering.cold_starts
+    if cold_starts is None:
+        return []
+    if pause:
+        distrust_fleet(cold_starts, now)
+    update_fleet(cold_starts, edge.peer_table, now)
+    return [
+        LogEvent('endpoint_warm', {'cookie': f'{cookie:08x}'})
+        for cookie in end_warm_ups(cold_starts, now)
+    ]
+
+
 def _list_suspected_cookies(
     tracker: EndpointLoadTracker, now: float
 ) -> frozenset[int]:
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -1,6 +1,6 @@
 """Updates of an edge balancer from views of the store."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from balsamshed.edge.effects import (
@@ -16,12 +16,18 @@
     EndpointView,
     apply_view,
 )
+from balsamshed.endpoints.endpoint import Endpoint
 from balsamshed.endpoints.history import (
     explains_all_changes,
     record_view,
 )
+from balsamshed.placement.cold_starts import (
+    ColdStarts,
+    forget_cold_start,
+    start_warm_up,
+)
 from balsamshed.placement.in_flight import forget_endpoint
-from balsamshed.routes.table import RouteTable
+from balsamshed.routes.table import NO_POLICY, RouteTable
 from balsamshed.steering.decisions import (
     Steering,
     has_view,
@@ -155,6 +161,7 @@
     """Record a view of the endpoints and put it in force."""
     steering = edge.steering
     former_revision = edge.history.revision
+    former = steering.directory.endpoints if has_view(steering) else None
     record_view(edge.history, view)
     changes = apply_view(
         steering.directory,
@@ -163,11 +170,74 @@
         retain_missing=had_recent_outage(edge.reads, now),
     )
     effects = apply_endpoint_changes(steering, changes, now)
+    effects.extend(limit_cold_starts(steering, former, now))
     if 0 <= get_era(former_revision) < get_era(view.revision):
         effects.append(_describe_restored(edge, former_revision))
     return effects
 
 
+def limit_cold_starts(
+    steering: Steering,
+    former: Mapping[int, Endpoint] | None,
+    now: float,
+) -> list[EdgeEffect]:
+    """Limit the openings of endpoints that a view shows to be cold.
+
+    Parameters
+    ----------
+    steering : Steering
+        Changed in place.
+    former : mapping of int to Endpoint or None
+        Endpoints of the view before, by instance ID; None if this is the
+        first view, in which warm endpoints are not new.
+    now : float
+        Monotonic seconds.
+    """
+    cold_starts = steering.cold_starts
+    if cold_starts is None:
+        return []
+    effects: list[EdgeEffect] = []
+    for instance, endpoint in steering.directory.endpoints.items():
+        previous = None if former is None else former.get(instance)
+        if previous is endpoint or (
+            previous is not None
+            and previous.sequence == endpoint.sequence
+            and previous.started_at_ms == endpoint.started_at_ms
+        ):
+            continue
+        is_new = former is not None and (
+            previous is None or previous.started_at_ms != endpoint.started_at_ms
+        )
+        if not is_new and endpoint.warm_up_seconds <= 0:
+            continue
+        policy = steering.routes.policies.get(endpoint.service, NO_POLICY)
+        seconds = endpoint.warm_up_seconds
+        if is_new:
+            seconds = max(seconds, policy.warm_up_seconds)
+        started = start_warm_up(
+            cold_starts, (endpoint,), seconds, policy.warm_up_rate, now
+        )
+        effects.extend(_describe_cold_start(cold_starts, started, seconds))
+    return effects
+
+
+def _describe_cold_start(
+    cold_starts: ColdStarts, started: Iterable[Endpoint], seconds: float
+) -> list[EdgeEffect]:
+    return [
+        LogEvent(
+            'endpoint_cold',
+            {
+                'endpoint': f'{endpoint.instance:x}',
+                'cookie': f'{endpoint.cookie:08x}',
+                'for_seconds': round(seconds, 3),
+                'openings_per_second': cold_starts.bounds[endpoint.cookie],
+            },
+        )
+        for endpoint in started
+    ]
+
+
 def apply_routes(
     edge: Edge,
     table: RouteTable,
@@ -194,6 +264,8 @@
     if change.kind in _RESET_KINDS:
         forget_endpoint(steering.load_tracker, endpoint.cookie)
         steering.requests.answered_at.pop(endpoint.cookie, None)
+        if change.kind is ChangeKind.REMOVED and steering.cold_starts:
+            forget_cold_start(steering.cold_starts, endpoint.cookie)
     if endpoint.warm_up_seconds > 0:
         steering.load_tracker.warm_until[endpoint.cookie] = (
             now + endpoint.warm_up_seconds
--- a/balsamshed/front_ends/edge_metrics.py
+++ b/balsamshed/front_ends/edge_metrics.py
@@ -105,6 +105,17 @@
             is_suspected(steering.load_tracker, cookie, now)
             for cookie in steering.load_tracker.suspicions
         ),
+        **_count_cold_starts(process),
         'requests_in_flight': len(steering.requests.pending),
         'log_lines_waiting': len(process.log_lines.lines),
     }
+
+
+def _count_cold_starts(process: EdgeProcess) -> dict[str, float]:
+    cold_starts = process.edge.steering.cold_starts
+    if cold_starts is None:
+        return {}
+    return {
+        'endpoints_warming_up': len(cold_starts.until),
+        'openings_withheld': cold_starts.openings_withheld,
+    }
--- a/balsamshed/limits/admission.py
+++ b/balsamshed/limits/admission.py
@@ -130,7 +130,7 @@
     goal_seconds = opening.latency_goal_seconds
     if not goal_seconds or not expected_seconds > goal_seconds:
         return ADMITTED
-    if _is_repeated_soon(opening):
+    if can_repeat_soon(opening.attempt, opening.timeout_seconds):
         return POSTPONED_BY_LOAD
     return REFUSED_BY_LOAD
 
@@ -155,11 +155,20 @@
     return priority > min(present) and priority == max(present)
 
 
-def _is_repeated_soon(opening: OpeningRequest) -> bool:
-    if opening.attempt >= len(REPETITION_SECONDS):
+def can_repeat_soon(attempt: int, timeout_seconds: float) -> bool:
+    """Tell whether the caller repeats an opening packet in time.
+
+    Parameters
+    ----------
+    attempt : int
+        Number of earlier copies of the packet.
+    timeout_seconds : float
+        Time after which the caller gives its request up.
+    """
+    if attempt >= len(REPETITION_SECONDS):
         return False
-    waited_seconds = REPETITION_SECONDS[opening.attempt]
-    return waited_seconds <= MAX_WAIT_SHARE * opening.timeout_seconds
+    waited_seconds = REPETITION_SECONDS[attempt]
+    return waited_seconds <= MAX_WAIT_SHARE * timeout_seconds
 
 
 def _record_slots(
--- a/balsamshed/peers/table.py
+++ b/balsamshed/peers/table.py
@@ -46,10 +46,13 @@
         Time of the last report, or of the first mention of the address.
     report : PeerReport or None
         The last report; None if it is missing or has expired.
+    was_heard : bool
+        Whether any report has arrived.
     """
 
     last_seen_at: float
     report: PeerReport | None = None
+    was_heard: bool = False
 
 
 @dataclass(slots=True)
@@ -130,6 +133,7 @@
     is_new = peer.report is None
     _discard_report(table, peer)
     peer.report = report
+    peer.was_heard = True
     peer.last_seen_at = now
     _update_counts(table, report, 1)
     add_peer_addresses(table, report.peers, now)
@@ -213,9 +217,31 @@
 def pick_shared_addresses(
     table: PeerTable,
     randbelow: RandBelow,
+    *,
+    includes_silent: bool = False,
 ) -> tuple[str, ...]:
-    """Pick the addresses of some live peers to share in a report."""
-    live = [host for host, peer in table.peers.items() if peer.report]
+    """Pick the addresses of some peers to share in a report.
+
+    Parameters
+    ----------
+    table : PeerTable
+        Known peers.
+    randbelow : callable
+        Returns a random integer from 0 to below its argument.
+    includes_silent : bool
+        Whether peers count that are silent now. Only those that this balancer
+        has heard itself are shared, so that none is passed on for ever.
+
+    Returns
+    -------
+    tuple of str
+        IPv4 addresses.
+    """
+    live = [
+        host
+        for host, peer in table.peers.items()
+        if peer.report or (includes_silent and peer.was_heard)
+    ]
     if len(live) <= MAX_SHARED_ADDRESSES:
         return tuple(live)
     start = randbelow(len(live))
--- a/balsamshed/platform/entries.py
+++ b/balsamshed/platform/entries.py
@@ -12,6 +12,7 @@
 from balsamshed.routes.table import (
     Route,
     RouteTable,
+    ServicePolicy,
     ServiceShare,
     create_route_table,
 )
@@ -30,6 +31,8 @@
 _MAX_INTEGER: Final = 2**63 - 1
 _MAX_SLOTS: Final = 1_000_000
 _MAX_DURATION_MS: Final = 86_400_000
+_MAX_WARM_UP_SECONDS: Final = 86_400
+_MAX_WARM_UP_RATE: Final = 1_000_000
 #: Values of ``type`` for routes whose requests may run more than once.
 _IDEMPOTENT_TYPES: Final = ('safe', 'download')
 _READY: Final = 'ready'
@@ -126,9 +129,34 @@
             if isinstance(service, Mapping)
             and _is_non_empty_string(service.get('name'))
         ),
+        _decode_policies(services),
     )
 
 
+def _decode_policies(services: list[Any]) -> dict[str, ServicePolicy]:
+    """Return the policies that set a warm-up; invalid fields count as zero."""
+    policies: dict[str, ServicePolicy] = {}
+    for service in services:
+        if not isinstance(service, Mapping):
+            continue
+        name = service.get('name')
+        if not _is_non_empty_string(name):
+            continue
+        policy = ServicePolicy(
+            _decode_number(service.get('warmupS'), _MAX_WARM_UP_SECONDS),
+            _decode_number(service.get('warmupPerS'), _MAX_WARM_UP_RATE),
+        )
+        if policy != ServicePolicy():
+            policies[str(name)] = policy
+    return policies
+
+
+def _decode_number(number: Any, limit: float) -> float:
+    """Return a number from 0 to a limit; zero if it is absent or invalid."""
+    is_number = isinstance(number, int | float) and not isinstance(number, bool)
+    return float(number) if is_number and 0 <= number <= limit else 0
+
+
 def _decode_route(entry: object) -> Route | None:
     if not isinstance(entry, Mapping):
         return None
--- a/balsamshed/routes/table.py
+++ b/balsamshed/routes/table.py
@@ -1,7 +1,9 @@
 """Route table of one version of the configuration."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import Final
 
 _PORT_BITS = 16
 
@@ -23,6 +25,22 @@
     weight: int = 1
 
 
+@dataclass(frozen=True, slots=True)
+class ServicePolicy:
+    """Warm-up of the endpoints of a service.
+
+    Parameters
+    ----------
+    warm_up_seconds : float
+        Time for which an endpoint is cold after its start.
+    warm_up_rate : float
+        Openings a second that a cold endpoint bears.
+    """
+
+    warm_up_seconds: float = 0
+    warm_up_rate: float = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Route:
     """Services that take the new flows to one address and port.
@@ -70,17 +88,27 @@
         Routes by listener key, see `make_listener_key`.
     services : frozenset of str
         Names of all services.
+    policies : dict of str to ServicePolicy
+        Policies by service, without those that set nothing.
     """
 
     version: int = -1
     routes: dict[int, Route] = field(default_factory=dict)
     services: frozenset[str] = frozenset()
+    policies: dict[str, ServicePolicy] = field(default_factory=dict)
+
+
+#: Policy of a service without a warm-up.
+NO_POLICY: Final = ServicePolicy()
+#: Policies of services that set none.
+NO_POLICIES: Final[Mapping[str, ServicePolicy]] = MappingProxyType({})
 
 
 def create_route_table(
     version: int,
     routes: Iterable[Route],
     services: Iterable[str],
+    policies: Mapping[str, ServicePolicy] = NO_POLICIES,
 ) -> RouteTable:
     """Create a table; of routes with the same listener the first is kept."""
     by_listener: dict[int, Route] = {}
@@ -88,7 +116,7 @@
         by_listener.setdefault(
             make_listener_key(route.address, route.port), route
         )
-    return RouteTable(version, by_listener, frozenset(services))
+    return RouteTable(version, by_listener, frozenset(services), dict(policies))
 
 
 def make_listener_key(address: int, port: int) -> int:
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -14,11 +14,18 @@
     OpeningRequest,
     ServiceLoad,
     admit_opening,
+    can_repeat_soon,
     estimate_seconds,
     record_duration,
 )
 from balsamshed.limits.verdicts import Admitted, Postponed
 from balsamshed.peers.table import PeerTable
+from balsamshed.placement.cold_starts import (
+    ColdStarts,
+    list_open_endpoints,
+    may_open,
+    record_cold_opening,
+)
 from balsamshed.placement.in_flight import (
     EndpointLoadTracker,
     choose_least_loaded,
@@ -41,6 +48,7 @@
 from balsamshed.steering.path_loss import is_path_reliable
 from balsamshed.steering.requests import (
     LatencySample,
+    PendingRequest,
     RequestStage,
     RequestTable,
     end_request,
@@ -67,6 +75,8 @@
 _ROUTE_REMOVED: Final = ResetFlow('route_removed')
 _NO_ENDPOINT: Final = ResetFlow('no_endpoint')
 _ENDPOINT_UNRESPONSIVE: Final = ResetFlow('endpoint_unresponsive')
+_WARMING_UP: Final = ResetFlow('endpoints_warming_up')
+_WAITS_FOR_WARM_UP: Final = DropPacket('waits_for_warm_up')
 _UNKNOWN_ROUTE: Final = DropPacket('unknown_route')
 _UNKNOWN_COOKIE: Final = DropPacket('unknown_cookie')
 
@@ -98,6 +108,8 @@
         Latest samples that the metrics have not yet read.
     options : EdgeOptions
         Optional parts that are switched on.
+    cold_starts : ColdStarts or None
+        Limits of the endpoints that are warming up; None if the part is off.
     """
 
     directory: EndpointDirectory
@@ -112,6 +124,7 @@
         default_factory=lambda: deque(maxlen=MAX_LATENCY_SAMPLES),
     )
     options: EdgeOptions = NO_OPTIONS
+    cold_starts: ColdStarts | None = None
 
 
 def create_steering(
@@ -148,6 +161,11 @@
         ),
         randbelow,
         options=options,
+        cold_starts=(
+            ColdStarts(options.cold_start_limit, peer_table.own_host)
+            if options.cold_start_limit
+            else None
+        ),
     )
 
 
@@ -264,9 +282,9 @@
     previous = steering.requests.pending.get(packet.flow_key)
     if previous is not None and previous.stage is RequestStage.OPENING:
         if now - previous.started_at < MIN_RETRANSMISSION_SECONDS:
-            endpoint = _find_on_route(steering, route, previous.cookie)
-            if endpoint is not None and not endpoint.is_draining:
-                return ForwardFlow(endpoint, previous.cookie)
+            duplicate = _forward_duplicate(steering, route, previous, now)
+            if duplicate is not None:
+                return duplicate
         elif packet.attempt:
             avoided_cookie = previous.cookie
             record_repetition(steering.requests, previous, now)
@@ -278,21 +296,62 @@
         return _NO_ENDPOINT
     endpoint = choose_least_loaded(
         steering.load_tracker,
-        list_available_endpoints(steering.directory, service),
+        _list_candidates(steering, service, now),
         avoided_cookie,
         steering.randbelow,
         now,
     )
     if endpoint is None:
-        return _NO_ENDPOINT
+        return _refuse_without_candidates(steering, packet, route, service)
     refusal = _review_load(steering, packet, route, endpoint, now)
     if refusal is not None:
         return refusal
     cookie = endpoint.cookie
+    if steering.cold_starts is not None:
+        record_cold_opening(steering.cold_starts, cookie, now)
     record_opening(steering.requests, packet.flow_key, cookie, now)
     return ForwardFlow(endpoint, cookie)
 
 
+def _forward_duplicate(
+    steering: Steering, route: Route, request: PendingRequest, now: float
+) -> ForwardFlow | DropPacket | None:
+    """Forward a duplicated opening packet to the endpoint of the first one."""
+    endpoint = _find_on_route(steering, route, request.cookie)
+    if endpoint is None or endpoint.is_draining:
+        return None
+    cold_starts = steering.cold_starts
+    if cold_starts is not None:
+        if not may_open(cold_starts, endpoint.cookie, now):
+            return _WAITS_FOR_WARM_UP
+        record_cold_opening(cold_starts, endpoint.cookie, now)
+    return ForwardFlow(endpoint, request.cookie)
+
+
+def _list_candidates(
+    steering: Steering, service: str, now: float
+) -> tuple[Endpoint, ...]:
+    """Return the endpoints of a service that may take a flow now."""
+    candidates = list_available_endpoints(steering.directory, service)
+    cold_starts = steering.cold_starts
+    if cold_starts is None or not cold_starts.until:
+        return candidates
+    return list_open_endpoints(cold_starts, candidates, now)
+
+
+def _refuse_without_candidates(
+    steering: Steering, packet: FlowPacket, route: Route, service: str
+) -> ResetFlow | DropPacket:
+    cold_starts = steering.cold_starts
+    available = list_available_endpoints(steering.directory, service)
+    if cold_starts is None or not available:
+        return _NO_ENDPOINT
+    cold_starts.openings_withheld += 1
+    if can_repeat_soon(packet.attempt, route.timeout_seconds):
+        return _WAITS_FOR_WARM_UP
+    return _WARMING_UP
+
+
 def _review_load(
     steering: Steering,
     packet: FlowPacket,
