--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -20,6 +20,7 @@
 from balsamshed.codecs.views import (
     create_routes_encoder,
     decode_view,
+    encode_routes,
     encode_view,
 )
 from balsamshed.edge.tests.builders import (
@@ -35,7 +36,7 @@
     calculate_wire_size,
 )
 from balsamshed.peers.view import StoreView
-from balsamshed.routes.table import create_route_table
+from balsamshed.routes.table import ServicePolicy, create_route_table
 
 HOSTS = st.tuples(*[st.integers(0, 255)] * 4).map(
     lambda octets: '.'.join(map(str, octets))
@@ -232,3 +233,17 @@
     table, newer = build_table(1), build_table(2)
     assert encode(table) is encode(table)
     assert encode(newer) != encode(table)
+
+
+def test_policies_of_services_travel_with_the_routes():
+    """Guards against a peer that does not know how much a cold start bears."""
+    policies = {'web': ServicePolicy(2.0, 10.0)}
+    table = create_route_table(3, (), {'web'}, policies)
+    view = StoreView(build_view(7), table)
+    assert decode_view(encode_view(view)) == view
+
+
+def test_routes_without_policies_are_encoded_as_before():
+    """Guards against other bytes where no service warms up."""
+    table = create_route_table(3, (), {'web'})
+    assert b'policies' not in encode_routes(table)
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -23,7 +23,6 @@
 )
 from balsamshed.placement.cold_starts import (
     ColdStarts,
-    forget_cold_start,
     start_warm_up,
 )
 from balsamshed.placement.in_flight import forget_endpoint
@@ -199,21 +198,14 @@
     effects: list[EdgeEffect] = []
     for instance, endpoint in steering.directory.endpoints.items():
         previous = None if former is None else former.get(instance)
-        if previous is endpoint or (
-            previous is not None
-            and previous.sequence == endpoint.sequence
-            and previous.started_at_ms == endpoint.started_at_ms
-        ):
-            continue
-        is_new = former is not None and (
-            previous is None or previous.started_at_ms != endpoint.started_at_ms
-        )
-        if not is_new and endpoint.warm_up_seconds <= 0:
+        if previous is not None and _is_same_report(previous, endpoint):
             continue
         policy = steering.routes.policies.get(endpoint.service, NO_POLICY)
         seconds = endpoint.warm_up_seconds
-        if is_new:
+        if former is not None and _is_new_start(previous, endpoint):
             seconds = max(seconds, policy.warm_up_seconds)
+        if seconds <= 0:
+            continue
         started = start_warm_up(
             cold_starts, (endpoint,), seconds, policy.warm_up_rate, now
         )
@@ -221,6 +213,17 @@
     return effects
 
 
+def _is_new_start(previous: Endpoint | None, endpoint: Endpoint) -> bool:
+    return previous is None or previous.started_at_ms != endpoint.started_at_ms
+
+
+def _is_same_report(previous: Endpoint, endpoint: Endpoint) -> bool:
+    return previous is endpoint or (
+        previous.sequence == endpoint.sequence
+        and previous.started_at_ms == endpoint.started_at_ms
+    )
+
+
 def _describe_cold_start(
     cold_starts: ColdStarts, started: Iterable[Endpoint], seconds: float
 ) -> list[EdgeEffect]:
@@ -238,6 +241,17 @@
     ]
 
 
+def _update_cold_start_bounds(steering: Steering, now: float) -> None:
+    """Apply the policies of new routes to the endpoints that are cold."""
+    cold_starts = steering.cold_starts
+    if cold_starts is None:
+        return
+    for endpoint in steering.directory.endpoints.values():
+        if endpoint.cookie in cold_starts.until:
+            policy = steering.routes.policies.get(endpoint.service, NO_POLICY)
+            start_warm_up(cold_starts, (endpoint,), 0, policy.warm_up_rate, now)
+
+
 def apply_routes(
     edge: Edge,
     table: RouteTable,
@@ -248,6 +262,7 @@
     fields = {'version': table.version, 'former_version': previous_version}
     if replace_routes(edge.steering, table):
         edge.routes_applied_at = now
+        _update_cold_start_bounds(edge.steering, now)
         fields['routes'] = len(table.routes)
         return [LogEvent('routes_changed', fields)]
     if table.version < previous_version:
@@ -264,8 +279,6 @@
     if change.kind in _RESET_KINDS:
         forget_endpoint(steering.load_tracker, endpoint.cookie)
         steering.requests.answered_at.pop(endpoint.cookie, None)
-        if change.kind is ChangeKind.REMOVED and steering.cold_starts:
-            forget_cold_start(steering.cold_starts, endpoint.cookie)
     if endpoint.warm_up_seconds > 0:
         steering.load_tracker.warm_until[endpoint.cookie] = (
             now + endpoint.warm_up_seconds
--- a/balsamshed/placement/cold_starts.py
+++ b/balsamshed/placement/cold_starts.py
@@ -120,11 +120,11 @@
     """Remove the limits whose warm-up has ended, and return their cookies."""
     ended = [cookie for cookie, until in state.until.items() if until <= now]
     for cookie in ended:
-        forget_cold_start(state, cookie)
+        _forget_cold_start(state, cookie)
     return ended
 
 
-def forget_cold_start(state: ColdStarts, cookie: int) -> None:
+def _forget_cold_start(state: ColdStarts, cookie: int) -> None:
     """Remove the limit of an endpoint that is warm or has left."""
     for by_cookie in (state.until, state.bounds, state.parts, state.sent_at):
         by_cookie.pop(cookie, None)
--- a/balsamshed/platform/tests/test_entries.py
+++ b/balsamshed/platform/tests/test_entries.py
@@ -18,7 +18,12 @@
     decode_endpoint,
     decode_routes,
 )
-from balsamshed.routes.table import RouteTable, ServiceShare, make_listener_key
+from balsamshed.routes.table import (
+    RouteTable,
+    ServicePolicy,
+    ServiceShare,
+    make_listener_key,
+)
 
 
 def build_entry(name='i-2fa0', **changes):
@@ -287,3 +292,15 @@
     table = decode_routes(build_configuration(routes=[route]))
     (decoded,) = table.routes.values()
     assert (decoded.latency_goal_seconds, decoded.priority) == expected
+
+
+def test_warm_up_of_services_is_decoded():
+    """Guards against a cold start without a limit, or an invalid one."""
+    services = [
+        {'name': 'web', 'warmupS': 2.0, 'warmupPerS': 10},
+        {'name': 'odd', 'warmupS': 'x', 'warmupPerS': -1},
+        {'name': 'plain', 'warmupS': 0, 'warmupPerS': 0.0},
+    ]
+    spec = {'version': 1, 'routes': [], 'services': services}
+    table = decode_routes({'meta': {'name': 'main'}, 'spec': spec})
+    assert table.policies == {'web': ServicePolicy(2, 10)}
--- a/balsamshed/steering/tests/test_decisions.py
+++ b/balsamshed/steering/tests/test_decisions.py
@@ -7,14 +7,17 @@
     LISTENER,
     PORT,
     always_zero,
+    build_edge,
     build_endpoint,
     build_packet,
     build_table,
     build_view,
 )
+from balsamshed.edge.views import handle_endpoints, handle_routes
 from balsamshed.endpoints.directory import apply_view
 from balsamshed.limits.admission import ServiceLoad
 from balsamshed.peers.table import PeerTable
+from balsamshed.placement.cold_starts import update_fleet
 from balsamshed.placement.in_flight import is_suspected
 from balsamshed.routes.table import (
     Route,
@@ -28,6 +31,7 @@
     replace_routes,
     steer_packet,
 )
+from balsamshed.steering.options import ColdStartLimit, EdgeOptions
 from balsamshed.steering.packets import (
     DropPacket,
     ForwardFlow,
@@ -225,3 +229,56 @@
     steering = build_busy_steering()
     replace_routes(steering, build_table(3, p443='files'))
     assert not steering.service_loads
+
+
+def build_cold_steering(**endpoint_changes):
+    """Return a balancer whose first endpoint is cold, with a part of five."""
+    edge = build_edge(
+        options=EdgeOptions(cold_start_limit=ColdStartLimit(1.5, 5))
+    )
+    handle_endpoints(
+        edge, build_view(1, build_endpoint(1, warm_up_seconds=99)), 0
+    )
+    handle_routes(edge, build_table(1), 0)
+    update_fleet(edge.steering.cold_starts, edge.peer_table, 0)
+    update_fleet(edge.steering.cold_starts, edge.peer_table, 10)
+    return edge
+
+
+def test_openings_over_the_limit_of_a_cold_endpoint_wait_or_are_refused():
+    """Guards against more openings than a cold endpoint bears."""
+    edge = build_cold_steering()
+    effects = [
+        steer_packet(edge.steering, build_packet(flow=flow), 10)
+        for flow in range(1, 7)
+    ]
+    assert all(isinstance(effect, ForwardFlow) for effect in effects[:5])
+    assert effects[5] == DropPacket('waits_for_warm_up')
+    late = build_packet(flow=9, attempt=2)
+    refusal = steer_packet(edge.steering, late, 10)
+    assert refusal == ResetFlow('endpoints_warming_up')
+    assert edge.steering.cold_starts.openings_withheld == 2
+
+
+def test_duplicates_of_an_opening_count_against_the_limit():
+    """Guards against duplicated packets beyond the limit."""
+    edge = build_cold_steering()
+    packet = build_packet(flow=1)
+    effects = [steer_packet(edge.steering, packet, 10) for _ in range(6)]
+    assert sum(isinstance(effect, ForwardFlow) for effect in effects) == 5
+
+
+def test_what_a_cold_endpoint_may_not_take_goes_to_others():
+    """Guards against refusals while another endpoint is there."""
+    edge = build_cold_steering()
+    view = build_view(
+        2, build_endpoint(1, warm_up_seconds=99), build_endpoint(2)
+    )
+    handle_endpoints(edge, view, 10)
+    effects = [
+        steer_packet(edge.steering, build_packet(flow=flow), 10)
+        for flow in range(1, 40)
+    ]
+    assert all(isinstance(effect, ForwardFlow) for effect in effects)
+    cold = build_endpoint(1).cookie
+    assert sum(effect.cookie == cold for effect in effects) <= 5
