--- a/balsamshed/edge/evacuations.py
+++ b/balsamshed/edge/evacuations.py
@@ -1,5 +1,6 @@
 """Evacuations of data centres at an edge balancer."""
 
+from balsamshed.edge.cold_starts import limit_returned_endpoints
 from balsamshed.edge.effects import EdgeEffect, LogEvent, ReadSource
 from balsamshed.edge.state import Edge
 from balsamshed.edge.views import handle_revision
@@ -8,7 +9,11 @@
     create_evacuation_view,
     get_known_revision,
 )
-from balsamshed.evacuations.view import EvacuationChange, EvacuationView
+from balsamshed.evacuations.view import (
+    EvacuationChange,
+    EvacuationView,
+    list_returned,
+)
 from balsamshed.store.polling import READ_INTERVAL_SECONDS, Source
 from balsamshed.store.revisions import format_revision
 
@@ -52,7 +57,12 @@
     if view is None or not steering.options.follows_evacuations:
         return []
     changes = apply_evacuations(steering.evacuations, view, now)
-    return [_describe_change(edge, change) for change in changes]
+    effects: list[EdgeEffect] = [
+        _describe_change(edge, change) for change in changes
+    ]
+    for data_centre in list_returned(changes):
+        effects.extend(limit_returned_endpoints(steering, data_centre, now))
+    return effects
 
 
 def create_evacuations_for_peer(edge: Edge) -> EvacuationView | None:
--- a/balsamshed/edge/tests/test_evacuations.py
+++ b/balsamshed/edge/tests/test_evacuations.py
@@ -1,7 +1,10 @@
 """Tests of evacuations in an edge balancer."""
 
+from dataclasses import replace
+
 from balsamshed.edge.effects import LogEvent, ReadSource
 from balsamshed.edge.evacuations import (
+    apply_known_evacuations,
     handle_evacuations,
     handle_unreadable_evacuations,
     is_evacuation_read_due,
@@ -23,7 +26,8 @@
 from balsamshed.endpoints.directory import EndpointView
 from balsamshed.evacuations.view import EvacuationView
 from balsamshed.peers.view import StoreView
-from balsamshed.steering.options import EdgeOptions
+from balsamshed.routes.table import ServicePolicy
+from balsamshed.steering.options import ColdStartLimit, EdgeOptions
 from balsamshed.store.polling import READ_INTERVAL_SECONDS, Source
 
 OPTIONS = EdgeOptions(follows_evacuations=True)
@@ -171,6 +175,22 @@
     assert not is_evacuation_read_due(edge, 60)
 
 
+def test_returned_endpoints_are_limited_as_cold_ones():
+    """Guards against all openings that go to a data centre right after its
+    return, where the endpoints have become cold without load."""
+    options = EdgeOptions(True, cold_start_limit=ColdStartLimit(1.5, 5))
+    edge = build_edge(options=options)
+    start_with_view(edge, 3)
+    policies = {'web': ServicePolicy(warm_up_seconds=2)}
+    edge.steering.routes = replace(edge.steering.routes, policies=policies)
+    evacuated = EvacuationView(4, {'a': 4})
+    apply_known_evacuations(edge, evacuated, 5)
+    effects = apply_known_evacuations(edge, EvacuationView(5), 9)
+    assert list_events(effects) == ['evacuation_ended', 'endpoint_cold']
+    cookie = build_endpoint(1).cookie
+    assert edge.steering.cold_starts.until[cookie] == 11
+
+
 def test_list_that_cannot_be_read_stops_no_other_change():
     """Guards against one bad entry that keeps a balancer from drains and
     routes, or makes it read the store without a pause."""
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -3,6 +3,10 @@
 from collections.abc import Iterable
 from typing import Final
 
+from balsamshed.edge.cold_starts import (
+    limit_cold_starts,
+    update_cold_start_bounds,
+)
 from balsamshed.edge.effects import (
     AcceptPackets,
     EdgeEffect,
@@ -175,6 +179,7 @@
     """Record a view of the endpoints and put it in force."""
     steering = edge.steering
     former_revision = edge.history.revision
+    former = steering.directory.endpoints if has_view(steering) else None
     record_view(edge.history, view)
     changes = apply_view(
         steering.directory,
@@ -183,6 +188,7 @@
         retain_missing=had_recent_outage(edge.reads, now),
     )
     effects = apply_endpoint_changes(steering, changes, now)
+    effects.extend(limit_cold_starts(steering, former, now))
     if 0 <= get_era(former_revision) < get_era(view.revision):
         effects.append(_describe_restored(edge, former_revision))
     return effects
@@ -198,6 +204,7 @@
     fields = {'version': table.version, 'former_version': previous_version}
     if replace_routes(edge.steering, table):
         edge.routes_applied_at = now
+        update_cold_start_bounds(edge.steering)
         fields['routes'] = len(table.routes)
         return [LogEvent('routes_changed', fields)]
     if table.version < previous_version:
