Tell peers that a running endpoint has become cold

Cause: the history of changes ignores the remaining warm-up, so only the reader of the store saw that the endpoints of a data centre returned cold. Change: with the limit on, a longer warm-up counts as a change.

--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -133,6 +133,9 @@
         grace_seconds,
         is_seed,
         started_at=now,
+        history=ViewHistory(
+            tracks_warm_ups=options.cold_start_limit is not None,
+        ),
         last_tick_at=now,
         packets_discarded_at=now,
     )
--- a/balsamshed/edge/tests/test_cold_starts.py
+++ b/balsamshed/edge/tests/test_cold_starts.py
@@ -2,6 +2,10 @@
 
 from balsamshed.edge.effects import LogEvent
 from balsamshed.edge.lifecycle import create_report, handle_tick
+from balsamshed.edge.peer_views import (
+    create_view_for_peer,
+    handle_peer_view,
+)
 from balsamshed.edge.tests.builders import (
     build_edge,
     build_endpoint,
@@ -104,3 +108,13 @@
     edge = build_balancer(FIRST, options=EdgeOptions())
     handle_endpoints(edge, build_view(2, build_endpoint(2)), 1)
     assert edge.steering.cold_starts is None
+
+
+def test_peers_learn_that_a_running_endpoint_has_become_cold():
+    """Guards against a return from an evacuation that only readers know."""
+    reader, peer = build_balancer(FIRST), build_balancer(FIRST)
+    cold = build_endpoint(1, warm_up_seconds=1.5, sequence=9)
+    handle_endpoints(reader, build_view(2, cold), 10)
+    reader.reads.revision = 2
+    handle_peer_view(peer, create_view_for_peer(reader, 1, 1), 10)
+    assert peer.steering.cold_starts.until == {FIRST.cookie: 11.5}
--- a/balsamshed/endpoints/history.py
+++ b/balsamshed/endpoints/history.py
@@ -71,6 +71,8 @@
         state or disappeared, by instance ID; the latest change comes last.
     digest : int or None
         Digest of the last view; None until a peer asks for changes.
+    tracks_warm_ups : bool
+        Whether a longer remaining warm-up counts as a change of an endpoint.
     """
 
     start_revision: int = -1
@@ -79,6 +81,7 @@
     endpoints: dict[int, Endpoint] = field(default_factory=dict)
     change_revisions: dict[int, int] = field(default_factory=dict)
     digest: int | None = None
+    tracks_warm_ups: bool = False
 
 
 def record_view(history: ViewHistory, view: EndpointView) -> None:
@@ -92,9 +95,7 @@
     if history.start_revision < 0:
         history.start_revision = history.max_revision
     else:
-        for instance in tuple(
-            _list_changed_instances(history.endpoints, endpoints)
-        ):
+        for instance in tuple(_list_changed_instances(history, endpoints)):
             # Reinsert the entry at the end: entries are in order of change.
             history.change_revisions.pop(instance, None)
             history.change_revisions[instance] = history.max_revision
@@ -216,13 +217,19 @@
 
 
 def _list_changed_instances(
-    previous: dict[int, Endpoint],
+    history: ViewHistory,
     endpoints: dict[int, Endpoint],
 ) -> Iterator[int]:
+    previous = history.endpoints
     for instance, endpoint in endpoints.items():
         old = previous.get(instance)
         if old is None or not has_same_state(old, endpoint):
             yield instance
+        elif (
+            history.tracks_warm_ups
+            and endpoint.warm_up_seconds > old.warm_up_seconds
+        ):
+            yield instance
     for instance in previous:
         if instance not in endpoints:
             yield instance
