Reset a flow only on answers younger than its request

A balancer whose own link is full sees silence at every endpoint. It took three copies of a request without an acknowledgement for an endpoint that has stopped, since answers of the second before still counted as proof that the way works, and flows that waited at the same link bore witness.

A copy now counts only if, before the next one, an answer arrived to a packet that was sent after it; queues keep the order of packets, so this proves that the copy has left the balancer, and it includes the time that packets wait in the balancer's own socket. An unanswered packet bears witness under the same condition. Suspicions for placement are as before.

Not measured yet.

--- a/balsamshed/placement/in_flight.py
+++ b/balsamshed/placement/in_flight.py
@@ -167,7 +167,7 @@
 def record_unanswered_packet(
     tracker: EndpointLoadTracker,
     cookie: int,
-    flow_key: bytes,
+    flow_key: bytes | None,
     now: float,
 ) -> Suspicion:
     """Record that an endpoint left a packet of a flow unanswered.
@@ -178,8 +178,9 @@
         Changed in place.
     cookie : int
         Cookie of the endpoint.
-    flow_key : bytes
-        Key of the flow whose caller repeated an opening packet or a request.
+    flow_key : bytes or None
+        Key of the flow whose caller repeated an opening packet or a request;
+        None if its packets may have been lost before they left this balancer.
     now : float
         Monotonic seconds.
 
@@ -197,7 +198,8 @@
         doublings = min(suspicion.failures - 1, 8)
         length = MIN_SUSPICION_SECONDS * (1 << doublings)
         suspicion.until = now + min(length, MAX_SUSPICION_SECONDS)
-    suspicion.witnesses.add(flow_key)
+    if flow_key is not None:
+        suspicion.witnesses.add(flow_key)
     return suspicion
 
 
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -38,7 +38,7 @@
     ResetFlow,
     SteeringEffect,
 )
-from balsamshed.steering.path_loss import is_path_reliable
+from balsamshed.steering.path_loss import is_path_reliable, is_proven_since
 from balsamshed.steering.requests import (
     LatencySample,
     RequestStage,
@@ -49,6 +49,7 @@
     track_packet,
 )
 from balsamshed.steering.unresponsive import (
+    MIN_SUSPICIOUS_COPIES,
     find_unanswered_request,
     has_enough_copies,
     is_doubted_elsewhere,
@@ -270,8 +271,14 @@
         elif packet.attempt:
             avoided_cookie = previous.cookie
             record_repetition(steering.requests, previous, now)
+            is_proven = is_proven_since(
+                steering.requests.path_loss, previous.started_at
+            )
             record_unanswered_packet(
-                steering.load_tracker, avoided_cookie, packet.flow_key, now
+                steering.load_tracker,
+                avoided_cookie,
+                packet.flow_key if is_proven else None,
+                now,
             )
     service = _choose_service(steering, route)
     if service is None:
@@ -360,10 +367,13 @@
     if request is None:
         return False
     tracker = steering.load_tracker
-    record_unanswered_packet(tracker, request.cookie, flow_key, now)
+    is_proven = request.proven_copies >= MIN_SUSPICIOUS_COPIES
+    witness = flow_key if is_proven else None
+    record_unanswered_packet(tracker, request.cookie, witness, now)
     if not has_enough_copies(request, now):
         return False
-    if not is_path_reliable(steering.requests.path_loss, now):
+    path_loss, since = steering.requests.path_loss, request.proven_since
+    if not is_path_reliable(path_loss, since, now):
         return False
     return is_doubted_elsewhere(
         steering.directory, tracker, endpoint, flow_key, request.started_at
--- a/balsamshed/steering/requests.py
+++ b/balsamshed/steering/requests.py
@@ -11,7 +11,13 @@
 from typing import Final
 
 from balsamshed.steering.packets import FlowPacket, PacketKind
-from balsamshed.steering.path_loss import PathLoss, record_answer, record_loss
+from balsamshed.steering.path_loss import (
+    PathLoss,
+    is_proven_since,
+    record_answer,
+    record_loss,
+    record_proof,
+)
 
 #: Older requests are no longer counted: the caller has given up, or its
 #: packets reach another balancer.
@@ -53,6 +59,11 @@
         Number of times that the caller has sent this packet.
     last_copy_at : float
         Monotonic time of the last copy.
+    proven_copies : int
+        Copies that show something about the endpoint: between each of them and
+        the next, the way to other endpoints worked.
+    proven_since : float
+        Monotonic time of the first of these copies.
     """
 
     cookie: int
@@ -62,6 +73,8 @@
     sequence: int = 0
     copies: int = 1
     last_copy_at: float = 0
+    proven_copies: int = 1
+    proven_since: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,12 +126,15 @@
     now: float,
 ) -> None:
     """Record that an opening packet was forwarded to an endpoint."""
-    end_request(table, flow_key)
-    _add_request(
-        table,
-        flow_key,
-        PendingRequest(cookie, RequestStage.OPENING, now),
+    previous = table.pending.get(flow_key)
+    is_repeated = (
+        previous is not None and previous.stage is RequestStage.OPENING
     )
+    end_request(table, flow_key)
+    request = PendingRequest(cookie, RequestStage.OPENING, now)
+    if is_repeated:
+        request.copies += 1
+    _add_request(table, flow_key, request)
 
 
 def track_packet(
@@ -157,6 +173,7 @@
         connect_seconds = now - request.started_at
         request.stage = RequestStage.OPENED
         table.answered_at[cookie] = now
+        _record_proof(table, request)
     if packet.kind is PacketKind.CLOSING:
         end_request(table, packet.flow_key)
     elif packet.kind is PacketKind.DATA:
@@ -239,6 +256,7 @@
     if is_answered:
         table.answered_at[request.cookie] = now
         record_answer(table.path_loss, now)
+        _record_proof(table, request)
         if request.copies > 1:
             record_loss(table.path_loss, now)
     elif packet.kind is not PacketKind.CLOSING:
@@ -271,10 +289,29 @@
     )
     if is_copy:
         request.copies += 1
+        _update_proven_copies(table, request, now)
         request.last_copy_at = now
         record_repetition(table, request, now)
 
 
+def _update_proven_copies(
+    table: RequestTable,
+    request: PendingRequest,
+    now: float,
+) -> None:
+    if is_proven_since(table.path_loss, request.last_copy_at):
+        request.proven_copies += 1
+    else:
+        request.proven_copies = 1
+        request.proven_since = now
+
+
+def _record_proof(table: RequestTable, request: PendingRequest) -> None:
+    # The answer to a repeated packet may belong to any of its copies.
+    if request.copies == 1:
+        record_proof(table.path_loss, request.started_at)
+
+
 def _record_request(
     table: RequestTable,
     packet: FlowPacket,
@@ -288,6 +325,7 @@
         packet.acknowledged,
         packet.sequence,
         last_copy_at=now,
+        proven_since=now,
     )
     _add_request(table, packet.flow_key, request)
 
--- a/balsamshed/steering/unresponsive.py
+++ b/balsamshed/steering/unresponsive.py
@@ -3,6 +3,10 @@
 A request on such a flow would fail only when its caller's deadline passes. If
 the request may run more than once, a reset lets the caller repeat it at once on
 a new flow. An endpoint that is only silent towards the store keeps its flows.
+
+A balancer whose own packets wait, in its link or in its socket, sees silence
+everywhere. A copy of a request therefore counts only if, before the next one,
+another endpoint answered a packet that was sent after it.
 """
 
 from typing import Final
@@ -53,10 +57,13 @@
 
 
 def has_enough_copies(request: PendingRequest, now: float) -> bool:
-    """Tell whether a request was repeated often and long enough."""
+    """Tell whether a request was repeated often and long enough.
+
+    Copies count while the way to other endpoints works.
+    """
     return (
-        request.copies >= MIN_UNANSWERED_COPIES
-        and now - request.started_at >= MIN_UNANSWERED_SECONDS
+        request.proven_copies >= MIN_UNANSWERED_COPIES
+        and now - request.proven_since >= MIN_UNANSWERED_SECONDS
     )
 
 
