Count the time under way in the ages of reports

A balancer took the age in a peer's report as the age at its arrival. Each balancer that passed an age on took the time under way off it, also when it came back to the reader, so where reports waited at links nobody read the store.

A sender now adds an allowance to the age: half the duration of its last call after a read of its own, 0.15 s otherwise. A balancer that has read the store itself takes a confirmation for a later read only if it is later than its own one could have come back. The report's format is as before, and reports of former builds are taken as they are.

--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -31,7 +31,7 @@
 from balsamshed.steering.path_loss import is_path_lossy
 from balsamshed.steering.requests import PendingRequest, expire_requests
 from balsamshed.store.polling import (
-    get_view_age,
+    get_reported_age,
     is_read_due,
     record_pause,
     start_read,
@@ -105,7 +105,7 @@
     return PeerReport(
         edge.data_centre,
         edge.reads.revision,
-        get_view_age(edge.reads, now),
+        get_reported_age(edge.reads, now),
         tuple(
             EndpointReport(
                 cookie,
--- a/balsamshed/front_ends/edge_store.py
+++ b/balsamshed/front_ends/edge_store.py
@@ -19,7 +19,7 @@
 )
 from balsamshed.front_ends.http_session import HttpFailure
 from balsamshed.front_ends.source_reader import SourceListing, read_source
-from balsamshed.store.polling import Source
+from balsamshed.store.polling import Source, record_call
 from balsamshed.store.revisions import format_revision
 
 
@@ -43,12 +43,12 @@
     now = read_clock()
     record_duration(process, 'store_read', now - started_at)
     try:
-        effects = _apply_outcome(process, source, outcome, now)
+        effects = _apply_outcome(process, source, outcome, started_at, now)
     except Exception as error:
         # A read that never ends would be the last one of this process.
         report_error(process, error)
         failure = HttpFailure('internal_error')
-        effects = _apply_outcome(process, source, failure, now)
+        effects = _apply_outcome(process, source, failure, started_at, now)
     execute_effects(process, effects)
 
 
@@ -56,6 +56,7 @@
     process: EdgeProcess,
     source: Source,
     outcome: SourceListing | HttpFailure,
+    started_at: float,
     now: float,
 ) -> list[EdgeEffect]:
     if isinstance(outcome, HttpFailure):
@@ -64,6 +65,7 @@
             process.edge, source, outcome.reason, now, outcome.received_bytes
         )
     if source is Source.REVISION:
+        record_call(process.edge.reads, now - started_at)
         return handle_revision(process.edge, outcome.revision)
     if source is Source.ENDPOINTS:
         return _apply_endpoints(process, outcome, now)
--- a/balsamshed/store/polling.py
+++ b/balsamshed/store/polling.py
@@ -7,6 +7,11 @@
 routes only if it has changed. Peers that receive a report of a confirmed
 revision need no read of their own.
 
+A report takes time that its reader does not know, so an age looks younger with
+each balancer that passes it on. Each sender therefore adds an allowance, and a
+balancer that has read the store itself takes a peer's confirmation for a later
+read only if it can't be its own one that came back.
+
 At startup a balancer reads a view that may be stale, because such a read costs
 a tenth of a current one and is not rate-limited. It serves with this view
 until its own read or a peer's report confirms the revision.
@@ -25,6 +30,9 @@
 READER_RANK_DELAY_SECONDS: Final = 0.2
 #: Age of the view at which every balancer polls, whatever its rank.
 MAX_READ_INTERVAL_SECONDS: Final = 1.6
+#: Time that a report may be under way, added to an age that is passed on. With
+#: more, the last balancers of a group of 300 would read for themselves.
+RELAY_ALLOWANCE_SECONDS: Final = 0.15
 #: Delay after which a seed polls to confirm a possibly stale view, unless a
 #: peer's report has done so; reports of running peers arrive earlier. Other
 #: balancers wait for `MAX_READ_INTERVAL_SECONDS`, because ranks are unknown
@@ -70,6 +78,11 @@
         Start of the read in progress; None if there is none.
     may_be_stale : bool
         Whether the read in progress may return an outdated view.
+    read_at : float or None
+        Start of the last read by this balancer itself that confirmed the
+        revision; None without one.
+    call_seconds : float
+        Duration of its last call to the store.
     unconfirmed_since : float
         Time at which an unconfirmed view was read or taken from a peer.
     pending_revision : int
@@ -86,6 +99,8 @@
     confirmed_at: float | None = None
     started_at: float | None = None
     may_be_stale: bool = False
+    read_at: float | None = None
+    call_seconds: float = 0
     unconfirmed_since: float = 0
     pending_revision: int = -1
     retry_at: float = 0
@@ -189,6 +204,7 @@
             state.unconfirmed_since = state.started_at or 0
         else:
             state.confirmed_at = state.started_at
+            state.read_at = state.started_at
     state.started_at = None
     was_failing = state.consecutive_failures > 0
     state.consecutive_failures = 0
@@ -261,14 +277,27 @@
     """Record a peer's report that a revision was current at a given time.
 
     The report confirms this balancer's view only if both have the same
-    revision.
+    revision. The time may be late by the time that reports were under way.
     """
     if revision != state.revision:
         return
-    if state.confirmed_at is None or confirmed_at > state.confirmed_at:
+    if state.confirmed_at is None:
+        state.confirmed_at = confirmed_at
+        return
+    tolerance: float = 0
+    if _has_confirmed_itself(state):
+        # A confirmation that came back has passed this balancer's own link
+        # twice, as a call does, and the links of others.
+        tolerance = RELAY_ALLOWANCE_SECONDS + 2 * state.call_seconds
+    if confirmed_at > state.confirmed_at + tolerance:
         state.confirmed_at = confirmed_at
 
 
+def record_call(state: ReadState, seconds: float) -> None:
+    """Record how long a call to the store took."""
+    state.call_seconds = seconds
+
+
 def apply_peer_revision(state: ReadState, revision: int, now: float) -> None:
     """Record that the newer view of a peer was applied.
 
@@ -293,3 +322,20 @@
     if state.confirmed_at is None:
         return float('inf')
     return now - state.confirmed_at
+
+
+def get_reported_age(state: ReadState, now: float) -> float:
+    """Return the age of the view for a report to peers, in seconds.
+
+    It includes an allowance for the time that the report is under way. After
+    a read by the balancer itself, this is half the duration of its last call,
+    which has passed its own link twice.
+    """
+    age = get_view_age(state, now)
+    if _has_confirmed_itself(state):
+        return age + state.call_seconds / 2
+    return age + RELAY_ALLOWANCE_SECONDS
+
+
+def _has_confirmed_itself(state: ReadState) -> bool:
+    return state.read_at is not None and state.read_at == state.confirmed_at
--- a/balsamshed/store/tests/test_polling.py
+++ b/balsamshed/store/tests/test_polling.py
@@ -1,5 +1,7 @@
 """Tests of when an edge balancer polls the store."""
 
+import pytest
+
 from balsamshed.edge.tests.builders import always_zero
 from balsamshed.store.polling import (
     MAX_BACKOFF_SECONDS,
@@ -8,6 +10,7 @@
     READ_INTERVAL_SECONDS,
     READ_TIMEOUT_SECONDS,
     RECENT_OUTAGE_SECONDS,
+    RELAY_ALLOWANCE_SECONDS,
     SEED_CONFIRMATION_DELAY_SECONDS,
     ReadState,
     Source,
@@ -15,9 +18,11 @@
     confirm_revision,
     fail_read,
     finish_read,
+    get_reported_age,
     get_view_age,
     had_recent_outage,
     is_read_due,
+    record_call,
     set_pending_revision,
     start_read,
 )
@@ -70,6 +75,29 @@
     assert get_view_age(state, 5.5) == 5.5
 
 
+def test_own_confirmation_that_comes_back_is_not_newer():
+    """Guards against an age that peers refresh by the time that reports were
+    under way."""
+    state = ReadState()
+    record_call(state, 0.2)
+    read(state, 1, now=5)
+    confirm_revision(state, 1, confirmed_at=5.5)
+    assert get_view_age(state, 6) == 1
+    confirm_revision(state, 1, confirmed_at=5.8)
+    assert get_view_age(state, 6) == pytest.approx(0.2)
+
+
+def test_age_grows_with_each_balancer_that_passes_it_on():
+    """Guards against ages that lack the time that reports are under way."""
+    reader, peer = ReadState(), ReadState(revision=1)
+    record_call(reader, 0.1)
+    read(reader, 1, now=5)
+    assert get_reported_age(reader, 5.5) == pytest.approx(0.55)
+    confirm_revision(peer, 1, confirmed_at=5)
+    expected = 0.5 + RELAY_ALLOWANCE_SECONDS
+    assert get_reported_age(peer, 5.5) == pytest.approx(expected)
+
+
 def test_age_counts_from_the_start_of_the_read():
     """Guards against a slow response that counts as current."""
     state = ReadState(consecutive_failures=MAX_STALE_READ_ATTEMPTS)
