Bound the bandwidth of large views for peers

The balancer with the newest table sent it to each peer that asked, so its own link was full, and forwarded packets waited behind the views.

Changes of endpoints alone are sent at any time, so that no drain waits for a table. The metric of events counts views_postponed.

The encoder takes a view now; the test of large configurations asks for the same view as before.

--- a/balsamshed/edge/peer_views.py
+++ b/balsamshed/edge/peer_views.py
@@ -122,6 +122,11 @@
     return StoreView(endpoints, routes if routes.version > version else None)
 
 
+def is_large_view(view: StoreView) -> bool:
+    """Tell whether a view holds more than the latest changes."""
+    return view.routes is not None or isinstance(view.endpoints, EndpointView)
+
+
 def _end_fetch(edge: Edge) -> None:
     edge.fetch_started_at = None
     edge.fetch_failures = 0
--- a/balsamshed/front_ends/edge_peers.py
+++ b/balsamshed/front_ends/edge_peers.py
@@ -20,8 +20,14 @@
     create_view_for_peer,
     handle_peer_view,
     handle_report,
+    is_large_view,
 )
 from balsamshed.edge.state import Edge
+from balsamshed.edge.view_pacing import (
+    ViewPacing,
+    may_send_large_view,
+    record_large_view,
+)
 from balsamshed.edge.views import (
     handle_read_failed,
 )
@@ -37,12 +43,13 @@
     report_error,
     start_http_server,
 )
-from balsamshed.front_ends.http_server import ServerResponse
+from balsamshed.front_ends.http_server import RequestHandler, ServerResponse
 from balsamshed.front_ends.http_session import (
     HttpFailure,
     HttpResponse,
     HttpSession,
 )
+from balsamshed.peers.view import StoreView
 from balsamshed.settings.balancer import SocketAddress
 from balsamshed.store.polling import Source
 
@@ -84,37 +91,49 @@
         address = SocketAddress(effect.host, peer_port)
         _fetch_view(process, HttpSession(process.loop, address), effect)
 
+    address = SocketAddress(process.settings.packets.host, peer_port)
+    bound = bind_datagram_socket(address)
+    port = DatagramSocket(bound, handle_datagram, count)
+    port.watch(process.loop)
+    start_http_server(process, address, create_request_handler(process))
+    process.effect_handlers[SendReport] = send_report
+    process.effect_handlers[FetchView] = fetch_view
+
+
+def create_request_handler(process: EdgeProcess) -> RequestHandler:
+    """Return a function that answers the requests of peers for views.
+
+    A peer that is turned away with 503 asks again after its backoff.
+    """
+    edge, counts = process.edge, process.counts
+    pacing = ViewPacing()
     encode_for_peer = create_view_encoder()
 
     def handle_request(target: str) -> ServerResponse:
         peer_versions = _parse_view_target(target)
         if peer_versions is None:
             return ServerResponse(404)
-        if process.edge.reads.revision < 0:
+        if edge.reads.revision < 0:
+            return ServerResponse(503)
+        view = create_view_for_peer(edge, *peer_versions)
+        is_large = is_large_view(view)
+        if is_large and not may_send_large_view(pacing, read_clock()):
+            counts['views_postponed'] += 1
             return ServerResponse(503)
-        body = encode_for_peer(process.edge, *peer_versions)
+        body = encode_for_peer(view)
         counts['view_bytes'] += len(body)
+        if is_large:
+            record_large_view(pacing, len(body))
         return ServerResponse(_OK, body, 'application/zlib')
 
-    address = SocketAddress(process.settings.packets.host, peer_port)
-    bound = bind_datagram_socket(address)
-    port = DatagramSocket(bound, handle_datagram, count)
-    port.watch(process.loop)
-    start_http_server(process, address, handle_request)
-    process.effect_handlers[SendReport] = send_report
-    process.effect_handlers[FetchView] = fetch_view
-
+    return handle_request
 
-def create_view_encoder() -> Callable[[Edge, int, int], bytes]:
-    """Return a function that encodes what a peer lacks of this view.
 
-    It takes the state of this balancer, and the revision and the routes
-    version of the peer.
-    """
+def create_view_encoder() -> Callable[[StoreView], bytes]:
+    """Return a function that encodes and compresses views for peers."""
     encode_routes = create_routes_encoder()
 
-    def encode(edge: Edge, revision: int, version: int) -> bytes:
-        view = create_view_for_peer(edge, revision, version)
+    def encode(view: StoreView) -> bytes:
         return compress(encode_view(view, encode_routes))
 
     return encode
--- a/testbed/tests/test_large_configuration.py
+++ b/testbed/tests/test_large_configuration.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from balsamshed.edge.peer_views import create_view_for_peer
 from balsamshed.edge.tests.builders import build_edge, build_view
 from balsamshed.edge.views import (
     handle_endpoints,
@@ -124,5 +125,7 @@
     handle_endpoints(edge, build_view(1), 0)
     handle_routes(edge, build_large_table(1), 0)
     encode_for_peer = create_view_encoder()
-    sent_bytes = PEER_COUNT * len(encode_for_peer(edge, 1, 0))
+    sent_bytes = PEER_COUNT * len(
+        encode_for_peer(create_view_for_peer(edge, 1, 0))
+    )
     assert sent_bytes < HAND_ON_SECONDS * HOLDER_BYTES_PER_SECOND
