Send peers only the routes that changed since their version

Each change of one of 4,200 routes sent the whole table to every peer.

A peer whose result has another digest, since one of both skipped a version, applies nothing of the view and asks for all routes.

Such changes are asked for at a path of their own. Requests at the former path are answered in the former form, and a holder that answers 404 is asked again at the former path, so builds work side by side. Up to 64 changed routes are sent at any time; more count as a large view.

--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -2,6 +2,8 @@
 
 The document has the endpoints of the whole view or, with ``base``, of the
 changes since that revision. ``routes`` is absent if the peer already has them.
+``route_changes`` has only the changed routes in the same form; it is sent only
+to peers that ask for changes of routes.
 """
 
 import json
@@ -12,6 +14,7 @@
 from balsamshed.endpoints.endpoint import Endpoint
 from balsamshed.endpoints.history import EndpointChanges
 from balsamshed.peers.view import StoreView
+from balsamshed.routes.history import RouteChanges
 from balsamshed.routes.table import (
     Route,
     RouteTable,
@@ -73,6 +76,9 @@
     content = _encode_json(_encode_endpoint_view(view.endpoints))
     if view.routes is None:
         return content
+    if isinstance(view.routes, RouteChanges):
+        changes = _encode_json(_encode_route_changes(view.routes))
+        return b'%s,"route_changes":%s}' % (content[:-1], changes)
     return b'%s,"routes":%s}' % (content[:-1], encode_table(view.routes))
 
 
@@ -80,10 +86,8 @@
     """Decode a view from a JSON document; None if it is malformed."""
     try:
         document = json.loads(body)
-        routes = document.get('routes')
         return StoreView(
-            _decode_endpoint_view(document),
-            None if routes is None else _decode_routes(routes),
+            _decode_endpoint_view(document), _decode_any_routes(document)
         )
     except _DECODE_ERRORS:
         return None
@@ -130,10 +134,27 @@
     return json.dumps(document, separators=(',', ':')).encode()
 
 
-def _encode_table(routes: RouteTable) -> dict[str, Any]:
+def _encode_table(table: RouteTable) -> dict[str, Any]:
+    return {
+        'version': table.version,
+        'services': sorted(table.services),
+        **_encode_routes(tuple(table.routes.values())),
+    }
+
+
+def _encode_route_changes(changes: RouteChanges) -> dict[str, Any]:
+    return {
+        'base': changes.base_version,
+        'version': changes.version,
+        'services': sorted(changes.services),
+        'removed': changes.removed,
+        'digest': changes.digest,
+        **_encode_routes(changes.updated),
+    }
+
+
+def _encode_routes(routes: Sequence[Route]) -> dict[str, Any]:
     return {
-        'version': routes.version,
-        'services': sorted(routes.services),
         'routes': [
             [
                 route.name,
@@ -142,16 +163,15 @@
                 [[share.service, share.weight] for share in route.shares],
                 route.timeout_seconds,
             ]
-            for route in routes.routes.values()
+            for route in routes
         ],
         # Not in the rows, whose length balancers of older builds check.
         'goals': [
-            [route.latency_goal_seconds, route.priority]
-            for route in routes.routes.values()
+            [route.latency_goal_seconds, route.priority] for route in routes
         ],
         'idempotent': [
             position
-            for position, route in enumerate(routes.routes.values())
+            for position, route in enumerate(routes)
             if route.is_idempotent
         ],
     }
@@ -179,16 +199,34 @@
     return Endpoint(*row)
 
 
-def _decode_routes(document: Any) -> RouteTable:
+def _decode_any_routes(document: Any) -> RouteTable | RouteChanges | None:
+    changes = document.get('route_changes')
+    if changes is not None:
+        return RouteChanges(
+            int(changes['base']),
+            int(changes['version']),
+            tuple(_decode_routes(changes)),
+            tuple(map(int, changes['removed'])),
+            frozenset(map(str, changes['services'])),
+            int(changes['digest']),
+        )
+    table = document.get('routes')
+    if table is None:
+        return None
+    return create_route_table(
+        table['version'], _decode_routes(table), table['services']
+    )
+
+
+def _decode_routes(document: Any) -> list[Route]:
     rows = document['routes']
     # Both are absent from balancers of older builds.
     idempotent = set(document.get('idempotent', ()))
     goals = document.get('goals') or [(0, 0) for _ in rows]
-    routes = [
+    return [
         _decode_route(row, goal, is_idempotent=position in idempotent)
         for position, (row, goal) in enumerate(zip(rows, goals, strict=True))
     ]
-    return create_route_table(document['version'], routes, document['services'])
 
 
 def _decode_route(row: Any, goal: Any, is_idempotent: bool) -> Route:
--- a/balsamshed/edge/peer_views.py
+++ b/balsamshed/edge/peer_views.py
@@ -23,6 +23,12 @@
     record_report,
 )
 from balsamshed.peers.view import StoreView
+from balsamshed.routes.history import (
+    RouteChanges,
+    list_route_changes,
+    merge_route_changes,
+)
+from balsamshed.routes.table import RouteTable
 from balsamshed.store.polling import (
     Source,
     apply_peer_revision,
@@ -32,6 +38,10 @@
 
 #: Revision of a balancer without a view; the answer to it is a whole view.
 NO_REVISION: Final = -1
+#: The same for the routes.
+NO_VERSION: Final = -1
+#: Changed routes that are sent at any time, some 20 bytes each when compressed.
+MAX_SMALL_CHANGES: Final = 64
 
 
 def handle_report(
@@ -70,8 +80,16 @@
     """Apply what is newer of a peer's view of the store."""
     endpoints = view.endpoints
     effects: list[EdgeEffect] = []
-    if view.routes is not None:
-        effects.extend(apply_routes(edge, view.routes, now))
+    table = view.routes
+    if isinstance(table, RouteChanges):
+        merged_table = merge_route_changes(edge.route_history, table)
+        if merged_table is None:
+            # The endpoints are of a revision with routes that are unknown.
+            return _fetch_all_routes(edge, table, now)
+        table = merged_table
+    if table is not None:
+        edge.needs_all_routes = False
+        effects.extend(apply_routes(edge, table, now))
     if endpoints.revision <= edge.reads.revision:
         if not effects:
             # A read of the store was faster, or the peer has restarted.
@@ -95,7 +113,11 @@
 
 
 def create_view_for_peer(
-    edge: Edge, revision: int = NO_REVISION, version: int = -1
+    edge: Edge,
+    revision: int = NO_REVISION,
+    version: int = NO_VERSION,
+    *,
+    takes_route_changes: bool = False,
 ) -> StoreView:
     """Return the part of this balancer's view that a peer lacks.
 
@@ -110,21 +132,31 @@
         Revision of the peer's view; -1 without one.
     version : int
         Version of the peer's routes; -1 without any.
+    takes_route_changes : bool
+        Whether the peer takes the changes of routes since its version; one of
+        an older build needs all routes.
     """
     history = edge.history
     own_revision = edge.reads.revision
-    routes = edge.steering.routes
     endpoints = list_changes(history, revision, own_revision) or EndpointView(
         own_revision,
         tuple(history.endpoints.values()),
         history.max_revision,
     )
-    return StoreView(endpoints, routes if routes.version > version else None)
+    routes: RouteTable | RouteChanges | None = edge.steering.routes
+    if edge.steering.routes.version <= version:
+        routes = None
+    elif takes_route_changes:
+        routes = list_route_changes(edge.route_history, version) or routes
+    return StoreView(endpoints, routes)
 
 
 def is_large_view(view: StoreView) -> bool:
-    """Tell whether a view holds more than the latest changes."""
-    return view.routes is not None or isinstance(view.endpoints, EndpointView)
+    """Tell whether a view holds more than a few of the latest changes."""
+    routes = view.routes
+    if isinstance(routes, RouteChanges):
+        return len(routes.updated) > MAX_SMALL_CHANGES
+    return routes is not None or isinstance(view.endpoints, EndpointView)
 
 
 def _end_fetch(edge: Edge) -> None:
@@ -147,12 +179,29 @@
     return [mismatch, *_fetch_newer_view(edge, now)]
 
 
+def _fetch_all_routes(
+    edge: Edge, changes: RouteChanges, now: float
+) -> list[EdgeEffect]:
+    """Fetch all routes, since changes did not lead to the peer's routes."""
+    edge.needs_all_routes = True
+    _end_fetch(edge)
+    fields = {
+        'reason': 'route_changes_do_not_match',
+        'base_version': changes.base_version,
+        'version': changes.version,
+        'own_version': edge.steering.routes.version,
+    }
+    mismatch = LogEvent('peer_view_failed', fields)
+    return [mismatch, *_fetch_newer_view(edge, now)]
+
+
 def _fetch_newer_view(edge: Edge, now: float) -> list[EdgeEffect]:
     """Fetch the view of a random peer that reports a newer one."""
+    own_version = edge.steering.routes.version
     holders = list_peers_with_newer_view(
         edge.peer_table,
         edge.reads.revision,
-        edge.steering.routes.version,
+        own_version,
         edge.data_centre,
     )
     if not holders:
@@ -162,6 +211,6 @@
         FetchView(
             holders[edge.randbelow(len(holders))],
             NO_REVISION if edge.needs_whole_view else edge.reads.revision,
-            edge.steering.routes.version,
+            NO_VERSION if edge.needs_all_routes else own_version,
         ),
     ]
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -6,6 +6,7 @@
 from balsamshed.endpoints.history import ViewHistory
 from balsamshed.peers.table import PeerTable
 from balsamshed.random_numbers import RandBelow
+from balsamshed.routes.history import RouteHistory
 from balsamshed.steering.decisions import Steering, create_steering, is_ready
 from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
 from balsamshed.store.polling import ReadState
@@ -46,6 +47,8 @@
         Time of the start.
     history : ViewHistory
         Last view of the store's endpoints and the latest changes to it.
+    route_history : RouteHistory
+        Routes in force and their latest changes.
     routes_applied_at : float or None
         Time at which the current routes came into force.
     stop_requested_at : float or None
@@ -69,6 +72,8 @@
     needs_whole_view : bool
         Whether the next fetch asks for a whole view, since the changes that
         a peer sent did not lead to its view.
+    needs_all_routes : bool
+        The same for the routes.
     packets_discarded_at : float
         Time at which waiting packets were last discarded; that of the start
         before.
@@ -89,6 +94,7 @@
     is_seed: bool
     started_at: float
     history: ViewHistory = field(default_factory=ViewHistory)
+    route_history: RouteHistory = field(default_factory=RouteHistory)
     routes_applied_at: float | None = None
     stop_requested_at: float | None = None
     last_packet_at: float = 0
@@ -99,6 +105,7 @@
     fetch_failures: int = 0
     fetch_retry_at: float = 0
     needs_whole_view: bool = False
+    needs_all_routes: bool = False
     packets_discarded_at: float = 0
     has_accepted_packets: bool = False
     has_been_ready: bool = False
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -366,3 +366,29 @@
     handle_endpoints(edge, build_view(1, build_endpoint(1)), 0)
     handle_routes(edge, build_table(1), 0)
     assert list_discards(edge, until=3.5) == []
+
+
+def test_changes_of_unknown_routes_are_replaced_by_all_routes():
+    """Guards against a view with the routes of another version, and against
+    a balancer that never gets the routes of a peer that skipped a version."""
+    edge = build_edge()
+    read_store(edge, build_view(1), build_table(1, p443='web'), 0)
+    read_store(edge, build_view(2), build_table(2, p444='web'), 0)
+    holder = build_edge()
+    read_store(holder, build_view(1), build_table(1, p443='web'), 0)
+    table = build_table(3, p443='web', p445='web')
+    read_store(holder, build_view(3, build_endpoint(1)), table, 0)
+    report = PeerReport('a', 3, 0.1, (), (), 3)
+    effects = tick_and_report(edge, '10.9.0.2', report, 1)
+    assert effects[-1] == FetchView('10.9.0.2', 2, 2)
+    view = create_view_for_peer(holder, 2, 2, takes_route_changes=True)
+    effects = handle_peer_view(edge, view, 1)
+    assert list_events(effects) == ['peer_view_failed']
+    assert effects[-1] == FetchView('10.9.0.2', 2, -1)
+    assert edge.reads.revision == 2
+    assert edge.steering.routes.version == 2
+    view = create_view_for_peer(holder, 2, -1, takes_route_changes=True)
+    handle_peer_view(edge, view, 1)
+    assert edge.steering.routes == table
+    assert edge.reads.revision == 3
+    assert not edge.needs_all_routes
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -21,6 +21,7 @@
     record_view,
 )
 from balsamshed.placement.in_flight import forget_endpoint
+from balsamshed.routes.history import record_table
 from balsamshed.routes.table import RouteTable
 from balsamshed.steering.decisions import (
     Steering,
@@ -177,6 +178,7 @@
     previous_version = edge.steering.routes.version
     fields = {'version': table.version, 'former_version': previous_version}
     if replace_routes(edge.steering, table):
+        record_table(edge.route_history, table)
         edge.routes_applied_at = now
         fields['routes'] = len(table.routes)
         return [LogEvent('routes_changed', fields)]
--- a/balsamshed/front_ends/edge_peers.py
+++ b/balsamshed/front_ends/edge_peers.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from balsamshed.codecs.compression import compress, decompress
@@ -56,12 +57,15 @@
 #: Path at which peers fetch this balancer's compressed view of the store. The
 #: revision and the routes version that the peer already has follow it.
 VIEW_PATH: Final = '/compressed-view'
+#: The same for peers that take the changes of routes since their version.
+CHANGES_PATH: Final = '/compressed-changes'
 #: Longest wait for data in a fetch of a peer's view.
 FETCH_TIMEOUT_SECONDS: Final = 0.5
 
 _OK: Final = 200
+_NOT_FOUND: Final = 404
 _VIEW_TARGET: Final = re.compile(
-    rf'{VIEW_PATH}/(-1|[0-9]{{1,19}})/(-1|[0-9]{{1,18}})'
+    rf'({VIEW_PATH}|{CHANGES_PATH})/(-1|[0-9]{{1,19}})/(-1|[0-9]{{1,18}})'
 )
 
 
@@ -89,7 +93,9 @@
 
     def fetch_view(effect: FetchView) -> None:
         address = SocketAddress(effect.host, peer_port)
-        _fetch_view(process, HttpSession(process.loop, address), effect)
+        _fetch_view(
+            process, partial(HttpSession, process.loop, address), effect
+        )
 
     address = SocketAddress(process.settings.packets.host, peer_port)
     bound = bind_datagram_socket(address)
@@ -110,12 +116,17 @@
     encode_for_peer = create_view_encoder()
 
     def handle_request(target: str) -> ServerResponse:
-        peer_versions = _parse_view_target(target)
-        if peer_versions is None:
-            return ServerResponse(404)
+        matched = _VIEW_TARGET.fullmatch(target)
+        if matched is None:
+            return ServerResponse(_NOT_FOUND)
         if edge.reads.revision < 0:
             return ServerResponse(503)
-        view = create_view_for_peer(edge, *peer_versions)
+        view = create_view_for_peer(
+            edge,
+            int(matched[2]),
+            int(matched[3]),
+            takes_route_changes=matched[1] == CHANGES_PATH,
+        )
         is_large = is_large_view(view)
         if is_large and not may_send_large_view(pacing, read_clock()):
             counts['views_postponed'] += 1
@@ -139,21 +150,21 @@
     return encode
 
 
-def _parse_view_target(target: str) -> tuple[int, int] | None:
-    """Return the peer's revision and version; None for another path."""
-    matched = _VIEW_TARGET.fullmatch(target)
-    return None if matched is None else (int(matched[1]), int(matched[2]))
-
-
 def _fetch_view(
     process: EdgeProcess,
-    session: HttpSession,
+    open_session: Callable[[], HttpSession],
     effect: FetchView,
+    path: str = CHANGES_PATH,
 ) -> None:
     started_at = read_clock()
+    session = open_session()
 
     def handle_response(outcome: HttpResponse | HttpFailure) -> None:
         session.close()
+        if path == CHANGES_PATH and _is_not_found(outcome):
+            # A balancer of an older build sends all routes only.
+            _fetch_view(process, open_session, effect, VIEW_PATH)
+            return
         record_duration(process, 'peer_view', read_clock() - started_at)
         try:
             effects = _handle_view_outcome(process.edge, outcome)
@@ -165,10 +176,14 @@
             )
         execute_effects(process, effects)
 
-    target = f'{VIEW_PATH}/{effect.revision}/{effect.version}'
+    target = f'{path}/{effect.revision}/{effect.version}'
     session.get(target, FETCH_TIMEOUT_SECONDS, handle_response)
 
 
+def _is_not_found(outcome: HttpResponse | HttpFailure) -> bool:
+    return isinstance(outcome, HttpResponse) and outcome.status == _NOT_FOUND
+
+
 def _handle_view_outcome(
     edge: Edge,
     outcome: HttpResponse | HttpFailure,
--- a/balsamshed/front_ends/tests/test_edge_errors.py
+++ b/balsamshed/front_ends/tests/test_edge_errors.py
@@ -93,7 +93,7 @@
     process = build_process()
     process.edge.fetch_started_at = 0
     effect = FetchView('10.9.0.2', 1, 1)
-    edge_peers._fetch_view(process, AnsweringSession(), effect)
+    edge_peers._fetch_view(process, AnsweringSession, effect)
     assert process.edge.fetch_started_at is None
     assert process.counts['internal_error'] == 1
     assert process.counts['peer_view_failed'] == 1
--- a/balsamshed/peers/view.py
+++ b/balsamshed/peers/view.py
@@ -4,6 +4,7 @@
 
 from balsamshed.endpoints.directory import EndpointView
 from balsamshed.endpoints.history import EndpointChanges
+from balsamshed.routes.history import RouteChanges
 from balsamshed.routes.table import RouteTable
 
 
@@ -15,9 +16,10 @@
     ----------
     endpoints : EndpointView or EndpointChanges
         All endpoints, or the changes since the peer's view.
-    routes : RouteTable or None
-        Routes in force; None if the peer has the same version.
+    routes : RouteTable or RouteChanges or None
+        Routes in force, or their changes since the peer's version; None if
+        the peer has the same version.
     """
 
     endpoints: EndpointView | EndpointChanges
-    routes: RouteTable | None
+    routes: RouteTable | RouteChanges | None
