Check routes in the test of view exchanges

Balancers skip versions of the routes there, and some of their answers are in the form of older builds.

--- a/testbed/tests/test_view_exchange.py
+++ b/testbed/tests/test_view_exchange.py
@@ -1,6 +1,6 @@
 """State machine test of how balancers pass views of the store on."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -73,6 +73,8 @@
         self.revision = 1
         self.listed = {number: build_endpoint(number) for number in (1, 2)}
         self.listed_at = {1: describe_endpoints(self.listed.values())}
+        self.tables = [build_table(1)]
+        self.version_at = {1: 1}
         self.edges = {host: self.start(host) for host in self.hosts}
         self.fetches = []
         self.answers = []
@@ -93,6 +95,26 @@
         self.listed_at[self.revision] = describe_endpoints(
             self.listed.values(),
         )
+        self.version_at[self.revision] = len(self.tables)
+
+    @rule(ports=st.sets(st.integers(1, 4)), service=st.sampled_from('ab'))
+    def write_configuration(self, ports, service):
+        """An operator writes the next version of the configuration."""
+        services = {f'p{port}': service for port in ports}
+        self.write_table(build_table(len(self.tables) + 1, **services))
+
+    @rule(reader=BALANCERS, ports=st.sets(st.integers(1, 4)))
+    def change_routes_and_return(self, reader, ports):
+        """One balancer reads a version that the next one takes back."""
+        former = self.tables[-1]
+        self.write_configuration(ports, 'c')
+        self.read(self.pick_host(reader))
+        self.write_table(replace(former, version=former.version + 2))
+
+    def write_table(self, table):
+        """Record the next version of the configuration."""
+        self.tables.append(table)
+        self.record_revision()
 
     @rule(number=ENDPOINTS, is_draining=st.booleans(), start=st.integers(1, 2))
     def write_entry(self, number, is_draining, start):
@@ -129,7 +151,7 @@
         start_read(edge.reads, self.now)
         view = build_view(self.revision, *self.listed.values())
         handle_endpoints(edge, view, self.now)
-        handle_routes(edge, build_table(1), self.now)
+        handle_routes(edge, self.tables[-1], self.now)
 
     @rule(position=BALANCERS)
     def restart(self, position):
@@ -163,15 +185,21 @@
             if isinstance(effect, FetchView)
         )
 
-    @rule(position=st.integers(0, 7))
-    def answer_fetch(self, position):
-        """The holder answers; the answer is under way from now on."""
+    @rule(position=st.integers(0, 7), takes_route_changes=st.booleans())
+    def answer_fetch(self, position, takes_route_changes=True):
+        """The holder answers; the answer is under way from now on.
+
+        Balancers of older builds take whole tables of routes only.
+        """
         if not self.fetches:
             return
         fetch = self.fetches.pop(position % len(self.fetches))
         wanted = fetch.effect
         view = create_view_for_peer(
-            self.edges[wanted.host], wanted.revision, wanted.version
+            self.edges[wanted.host],
+            wanted.revision,
+            wanted.version,
+            takes_route_changes=takes_route_changes,
         )
         self.answers.append((fetch.host, encode_view(view)))
 
@@ -214,6 +242,10 @@
                         self.deliver_answer(0, is_repeated=False)
         revisions = {edge.reads.revision for edge in self.edges.values()}
         assert len(revisions) == 1
+        versions = {
+            edge.steering.routes.version for edge in self.edges.values()
+        }
+        assert len(versions) == 1
 
     @invariant()
     def views_hold_what_the_store_listed(self):
@@ -225,6 +257,16 @@
                 known = describe_endpoints(history.endpoints.values())
                 assert known == self.listed_at[history.revision]
 
+    @invariant()
+    def routes_are_those_of_their_version(self):
+        """Routes hold what the operator wrote, and are as new as the view."""
+        for edge in self.edges.values():
+            routes = edge.steering.routes
+            if routes.version >= 0:
+                assert routes == self.tables[routes.version - 1]
+            if edge.reads.revision >= 0:
+                assert routes.version >= self.version_at[edge.reads.revision]
+
 
 ViewExchangeMachine.TestCase.settings = settings(
     max_examples=200,
