--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -37,6 +37,12 @@
     calculate_wire_size,
 )
 from balsamshed.peers.view import StoreView
+from balsamshed.routes.history import (
+    RouteHistory,
+    list_route_changes,
+    merge_route_changes,
+    record_table,
+)
 from balsamshed.routes.table import ServicePolicy, create_route_table
 
 HOSTS = st.tuples(*[st.integers(0, 255)] * 4).map(
@@ -286,3 +292,18 @@
     """Guards against other bytes where no service warms up."""
     table = create_route_table(3, (), {'web'})
     assert b'policies' not in encode_routes(table)
+
+
+def test_changed_routes_bring_the_policies_of_their_services():
+    """Guards against a balancer that gets changes of routes from a peer and
+    loses the warm-up of all services."""
+    policies = {'web': ServicePolicy(2, 10)}
+    history = RouteHistory()
+    record_table(history, build_table(3))
+    record_table(history, replace(build_table(4), policies=policies))
+    changes = list_route_changes(history, 3)
+    view = StoreView(build_view(9), changes)
+    assert decode_view(encode_view(view)) == view
+    peer = RouteHistory()
+    record_table(peer, build_table(3))
+    assert merge_route_changes(peer, changes).policies == policies
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -30,6 +30,7 @@
     hold_evacuations,
 )
 from balsamshed.placement.in_flight import forget_endpoint
+from balsamshed.routes.history import record_table
 from balsamshed.routes.table import RouteTable
 from balsamshed.steering.decisions import (
     Steering,
@@ -203,6 +204,7 @@
     previous_version = edge.steering.routes.version
     fields = {'version': table.version, 'former_version': previous_version}
     if replace_routes(edge.steering, table):
+        record_table(edge.route_history, table)
         edge.routes_applied_at = now
         update_cold_start_bounds(edge.steering)
         fields['routes'] = len(table.routes)
--- a/balsamshed/front_ends/edge_peers.py
+++ b/balsamshed/front_ends/edge_peers.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from balsamshed.codecs.compression import compress, decompress
@@ -20,8 +21,14 @@
     create_view_for_peer,
     handle_peer_view,
     handle_report,
+    is_large_view,
 )
 from balsamshed.edge.state import Edge
+from balsamshed.edge.view_pacing import (
+    ViewPacing,
+    may_send_large_view,
+    record_large_view,
+)
 from balsamshed.edge.views import (
     handle_read_failed,
 )
@@ -37,24 +44,28 @@
     report_error,
     start_http_server,
 )
-from balsamshed.front_ends.http_server import ServerResponse
+from balsamshed.front_ends.http_server import RequestHandler, ServerResponse
 from balsamshed.front_ends.http_session import (
     HttpFailure,
     HttpResponse,
     HttpSession,
 )
+from balsamshed.peers.view import StoreView
 from balsamshed.settings.balancer import SocketAddress
 from balsamshed.store.polling import Source
 
 #: Path at which peers fetch this balancer's compressed view of the store. The
 #: revision and the routes version that the peer already has follow it.
 VIEW_PATH: Final = '/compressed-view'
+#: The same for peers that take the changes of routes since their version.
+CHANGES_PATH: Final = '/compressed-changes'
 #: Longest wait for data in a fetch of a peer's view.
 FETCH_TIMEOUT_SECONDS: Final = 0.5
 
 _OK: Final = 200
+_NOT_FOUND: Final = 404
 _VIEW_TARGET: Final = re.compile(
-    rf'{VIEW_PATH}/(-1|[0-9]{{1,19}})/(-1|[0-9]{{1,18}})'
+    rf'({VIEW_PATH}|{CHANGES_PATH})/(-1|[0-9]{{1,19}})/(-1|[0-9]{{1,18}})'
 )
 
 
@@ -82,59 +93,78 @@
 
     def fetch_view(effect: FetchView) -> None:
         address = SocketAddress(effect.host, peer_port)
-        _fetch_view(process, HttpSession(process.loop, address), effect)
-
-    encode_for_peer = create_view_encoder()
-
-    def handle_request(target: str) -> ServerResponse:
-        peer_versions = _parse_view_target(target)
-        if peer_versions is None:
-            return ServerResponse(404)
-        if process.edge.reads.revision < 0:
-            return ServerResponse(503)
-        body = encode_for_peer(process.edge, *peer_versions)
-        counts['view_bytes'] += len(body)
-        return ServerResponse(_OK, body, 'application/zlib')
+        _fetch_view(
+            process, partial(HttpSession, process.loop, address), effect
+        )
 
     address = SocketAddress(process.settings.packets.host, peer_port)
     bound = bind_datagram_socket(address)
     port = DatagramSocket(bound, handle_datagram, count)
     port.watch(process.loop)
-    start_http_server(process, address, handle_request)
+    start_http_server(process, address, create_request_handler(process))
     process.effect_handlers[SendReport] = send_report
     process.effect_handlers[FetchView] = fetch_view
 
 
-def create_view_encoder() -> Callable[[Edge, int, int], bytes]:
-    """Return a function that encodes what a peer lacks of this view.
+def create_request_handler(process: EdgeProcess) -> RequestHandler:
+    """Return a function that answers the requests of peers for views.
 
-    It takes the state of this balancer, and the revision and the routes
-    version of the peer.
+    A peer that is turned away with 503 asks again after its backoff.
     """
+    edge, counts = process.edge, process.counts
+    pacing = ViewPacing()
+    encode_for_peer = create_view_encoder()
+
+    def handle_request(target: str) -> ServerResponse:
+        matched = _VIEW_TARGET.fullmatch(target)
+        if matched is None:
+            return ServerResponse(_NOT_FOUND)
+        if edge.reads.revision < 0:
+            return ServerResponse(503)
+        view = create_view_for_peer(
+            edge,
+            int(matched[2]),
+            int(matched[3]),
+            takes_route_changes=matched[1] == CHANGES_PATH,
+        )
+        is_large = is_large_view(view)
+        if is_large and not may_send_large_view(pacing, read_clock()):
+            counts['views_postponed'] += 1
+            return ServerResponse(503)
+        body = encode_for_peer(view)
+        counts['view_bytes'] += len(body)
+        if is_large:
+            record_large_view(pacing, len(body))
+        return ServerResponse(_OK, body, 'application/zlib')
+
+    return handle_request
+
+
+def create_view_encoder() -> Callable[[StoreView], bytes]:
+    """Return a function that encodes and compresses views for peers."""
     encode_routes = create_routes_encoder()
 
-    def encode(edge: Edge, revision: int, version: int) -> bytes:
-        view = create_view_for_peer(edge, revision, version)
+    def encode(view: StoreView) -> bytes:
         return compress(encode_view(view, encode_routes))
 
     return encode
 
 
-def _parse_view_target(target: str) -> tuple[int, int] | None:
-    """Return the peer's revision and version; None for another path."""
-    matched = _VIEW_TARGET.fullmatch(target)
-    return None if matched is None else (int(matched[1]), int(matched[2]))
-
-
 def _fetch_view(
     process: EdgeProcess,
-    session: HttpSession,
+    open_session: Callable[[], HttpSession],
     effect: FetchView,
+    path: str = CHANGES_PATH,
 ) -> None:
     started_at = read_clock()
+    session = open_session()
 
     def handle_response(outcome: HttpResponse | HttpFailure) -> None:
         session.close()
+        if path == CHANGES_PATH and _is_not_found(outcome):
+            # A balancer of an older build sends all routes only.
+            _fetch_view(process, open_session, effect, VIEW_PATH)
+            return
         record_duration(process, 'peer_view', read_clock() - started_at)
         try:
             effects = _handle_view_outcome(process.edge, outcome)
@@ -146,10 +176,14 @@
             )
         execute_effects(process, effects)
 
-    target = f'{VIEW_PATH}/{effect.revision}/{effect.version}'
+    target = f'{path}/{effect.revision}/{effect.version}'
     session.get(target, FETCH_TIMEOUT_SECONDS, handle_response)
 
 
+def _is_not_found(outcome: HttpResponse | HttpFailure) -> bool:
+    return isinstance(outcome, HttpResponse) and outcome.status == _NOT_FOUND
+
+
 def _handle_view_outcome(
     edge: Edge,
     outcome: HttpResponse | HttpFailure,
--- a/balsamshed/peers/view.py
+++ b/balsamshed/peers/view.py
@@ -5,6 +5,7 @@
 from balsamshed.endpoints.directory import EndpointView
 from balsamshed.endpoints.history import EndpointChanges
 from balsamshed.evacuations.view import EvacuationView
+from balsamshed.routes.history import RouteChanges
 from balsamshed.routes.table import RouteTable
 
 
@@ -16,12 +17,13 @@
     ----------
     endpoints : EndpointView or EndpointChanges
         All endpoints, or the changes since the peer's view.
-    routes : RouteTable or None
-        Routes in force; None if the peer has the same version.
+    routes : RouteTable or RouteChanges or None
+        Routes in force, or their changes since the peer's version; None if
+        the peer has the same version.
     evacuations : EvacuationView or None
         Evacuations, at a revision of their own; None if they are not known.
     """
 
     endpoints: EndpointView | EndpointChanges
-    routes: RouteTable | None
+    routes: RouteTable | RouteChanges | None
     evacuations: EvacuationView | None = None
