Replay many balancers with old reports and silent endpoints

The replays had four balancers whose reports were 0.1 s old, and endpoints that always answered an opening.

--- a/testbed/load_fleet.py
+++ b/testbed/load_fleet.py
@@ -11,16 +11,17 @@
 from balsamshed.endpoints.endpoint import Endpoint
 from balsamshed.peers.report import EndpointReport, PeerReport
 from balsamshed.peers.table import PeerTable, record_report
+from balsamshed.placement.in_flight import is_suspected
 from balsamshed.routes.table import Route, ServiceShare, create_route_table
 from balsamshed.steering.decisions import (
     Steering,
     create_steering,
     replace_routes,
 )
+from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
 from balsamshed.steering.requests import expire_requests
 from testbed.load_patterns import CallerClass, LoadPattern
 
-BALANCERS: Final = 4
 #: IPv4 address of all routes.
 ADDRESS: Final = 0xC6120001
 
@@ -30,11 +31,27 @@
 
 @dataclass(slots=True)
 class SimulatedEndpoint:
-    """Slots and queue of an endpoint; entries of the queue start a request."""
+    """Slots and queue of an endpoint.
+
+    Attributes
+    ----------
+    slots, queue_limit : int
+        Requests that run at once, and that wait.
+    running : int
+        Requests that run.
+    is_silent : bool
+        Whether it receives nothing.
+    lives : int
+        Number of times that it has lost all its requests.
+    queue : deque of callable
+        Start the requests that wait.
+    """
 
     slots: int
     queue_limit: int
     running: int = 0
+    is_silent: bool = False
+    lives: int = 0
     queue: deque[Callable[[], None]] = field(default_factory=deque)
 
 
@@ -75,6 +92,8 @@
 
     Attributes
     ----------
+    pattern : LoadPattern
+        What arrives when.
     balancers : list of Steering
         Packet paths of the balancers.
     peer_tables : list of PeerTable
@@ -85,6 +104,8 @@
         Source of all random numbers.
     now : float
         Simulated seconds.
+    listed : tuple of Endpoint
+        All endpoints.
     events : list of (float, int, callable)
         Heap of what happens next.
     outcomes : Counter of (str, str)
@@ -92,13 +113,20 @@
         ``failed``.
     refusals : Counter of (str, str)
         Number of postponed and refused openings, by class and reason.
+    asked, asked_in_goal : Counter of int
+        Number of requests, and of those answered in time, by the second in
+        which they were first tried.
+    in_goal : Counter of int
+        Number of requests answered in time, by the second of the answer.
     """
 
+    pattern: LoadPattern
     balancers: list[Steering]
     peer_tables: list[PeerTable]
     endpoints: dict[int, SimulatedEndpoint]
     numbers: Random
     now: float = 0
+    listed: tuple[Endpoint, ...] = ()
     events: list[tuple[float, int, Callable[[], None]]] = field(
         default_factory=list
     )
@@ -106,9 +134,17 @@
     flow_numbers: Any = field(default_factory=lambda: count(1))
     outcomes: Counter[tuple[str, str]] = field(default_factory=Counter)
     refusals: Counter[tuple[str, str]] = field(default_factory=Counter)
+    asked: Counter[int] = field(default_factory=Counter)
+    in_goal: Counter[int] = field(default_factory=Counter)
+    asked_in_goal: Counter[int] = field(default_factory=Counter)
 
 
-def create_replay(pattern: LoadPattern, seed: int, has_goals: bool) -> Replay:
+def create_replay(
+    pattern: LoadPattern,
+    seed: int,
+    has_goals: bool,
+    options: EdgeOptions = NO_OPTIONS,
+) -> Replay:
     """Create the state of a replay without events.
 
     Parameters
@@ -119,6 +155,8 @@
         Seed of the random numbers.
     has_goals : bool
         Whether the routes have latency goals.
+    options : EdgeOptions
+        Optional parts of the balancers.
     """
     numbers = Random(seed)  # noqa: S311
     endpoints = [
@@ -148,16 +186,17 @@
     ]
     table = create_route_table(1, routes, [_SERVICE])
     view = EndpointView(1, tuple(endpoints), 1)
-    replay = Replay([], [], {}, numbers)
-    for number in range(BALANCERS):
+    replay = Replay(pattern, [], [], {}, numbers)
+    for number in range(pattern.balancers):
         peer_table = PeerTable(f'10.9.0.{number}', _DATA_CENTRE)
         steering = create_steering(
-            _DATA_CENTRE, 60, peer_table, numbers.randrange
+            _DATA_CENTRE, 60, peer_table, numbers.randrange, options
         )
         apply_view(steering.directory, view, 0)
         replace_routes(steering, table)
         replay.balancers.append(steering)
         replay.peer_tables.append(peer_table)
+    replay.listed = view.endpoints
     for endpoint in endpoints:
         replay.endpoints[endpoint.cookie] = SimulatedEndpoint(
             endpoint.slots, endpoint.slots * pattern.queued_per_slot
@@ -165,21 +204,47 @@
     return replay
 
 
-def exchange_reports(replay: Replay) -> None:
-    """Let each balancer report its requests in flight to all others."""
+def exchange_reports(replay: Replay, tick: int, interval: float) -> None:
+    """Let each balancer report its requests in flight to the next peers."""
+    others = len(replay.balancers) - 1
+    share = min(1, interval / replay.pattern.report_round_seconds)
+    first, last = int(tick * share * others), int((tick + 1) * share * others)
     for sender, steering in enumerate(replay.balancers):
         expire_requests(steering.requests, replay.now)
+        tracker = steering.load_tracker
+        suspected = {
+            cookie
+            for cookie in tracker.suspicions
+            if is_suspected(tracker, cookie, replay.now)
+        }
+        counts = steering.requests.counts
         report = PeerReport(
             _DATA_CENTRE,
             1,
             0,
             tuple(
-                EndpointReport(cookie, amount, is_suspected=False)
-                for cookie, amount in steering.requests.counts.items()
+                EndpointReport(
+                    cookie, counts.get(cookie, 0), cookie in suspected
+                )
+                for cookie in counts.keys() | suspected
             ),
             (),
         )
-        for receiver, peer_table in enumerate(replay.peer_tables):
-            if receiver != sender:
-                host = f'10.9.0.{sender}'
-                record_report(peer_table, host, report, replay.now)
+        for number in range(first, last):
+            receiver = (sender + 1 + number % others) % (others + 1)
+            peer_table = replay.peer_tables[receiver]
+            host = f'10.9.0.{sender}'
+            record_report(peer_table, host, report, replay.now)
+
+
+def list_endpoints(replay: Replay) -> None:
+    """Let all balancers know which endpoints are silent at present."""
+    for steering in replay.balancers:
+        directory = steering.directory
+        endpoints = tuple(
+            endpoint
+            for endpoint in replay.listed
+            if not replay.endpoints[endpoint.cookie].is_silent
+        )
+        view = EndpointView(directory.revision + 1, endpoints)
+        apply_view(directory, view, replay.now)
--- a/testbed/load_patterns.py
+++ b/testbed/load_patterns.py
@@ -58,6 +58,23 @@
     end: float
 
 
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """Time in which endpoints receive nothing; they lose what they had.
+
+    Parameters
+    ----------
+    endpoints : int
+        Number of endpoints.
+    start, end : float
+        Simulated seconds.
+    """
+
+    endpoints: int
+    start: float
+    end: float
+
+
 @dataclass(frozen=True, slots=True)
 class LoadPattern:
     """Callers, bursts and endpoints of a replay.
@@ -77,6 +94,15 @@
         Simulated time in which requests are sent.
     lost_endpoints : int
         Number of endpoints that take no new flows.
+    balancers : int
+        Number of balancers.
+    report_round_seconds : float
+        Time in which each balancer sends a report to every other one.
+    leaves_openings_unanswered : bool
+        Whether a full endpoint leaves an opening packet unanswered. Otherwise
+        it rejects the request.
+    outage : Outage or None
+        Endpoints that receive nothing for some time.
     """
 
     classes: tuple[CallerClass, ...]
@@ -86,6 +112,10 @@
     queued_per_slot: int = 6
     seconds: float = 12
     lost_endpoints: int = 0
+    balancers: int = 4
+    report_round_seconds: float = 0.1
+    leaves_openings_unanswered: bool = False
+    outage: Outage | None = None
 
 
 FEEDS: Final = CallerClass(
@@ -112,3 +142,23 @@
     FLOOD_WITH_LOST_ENDPOINTS,
     classes=(replace(FEEDS, timeout_seconds=0.8), NOTES),
 )
+
+VIEWS: Final = CallerClass('views', 7003, 1, 193, 0.553, 2.764, 0.034)
+BOOKINGS: Final = CallerClass('bookings', 7004, 0, 55, 0.552, 2.758, 0.044)
+
+#: Many balancers with old reports, and a flow for each request.
+MANY_BALANCERS: Final = LoadPattern(
+    (VIEWS, BOOKINGS),
+    endpoints=20,
+    queued_per_slot=4,
+    seconds=14,
+    balancers=20,
+    report_round_seconds=4,
+    leaves_openings_unanswered=True,
+)
+#: All requests at several times their rate while endpoints are silent.
+FLOOD_WITH_SILENT_ENDPOINTS: Final = replace(
+    MANY_BALANCERS,
+    bursts=(Burst('views', 6, 3, 10), Burst('bookings', 6, 3, 10)),
+    outage=Outage(5, 3, 8),
+)
--- a/testbed/load_replay.py
+++ b/testbed/load_replay.py
@@ -13,22 +13,23 @@
 
 from balsamshed.routes.table import make_listener_key
 from balsamshed.steering.decisions import Steering, steer_packet
+from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
 from balsamshed.steering.packets import (
-    DropPacket,
     FlowPacket,
     ForwardFlow,
     PacketKind,
+    ResetFlow,
 )
 from testbed.load_fleet import (
     ADDRESS,
-    BALANCERS,
     Caller,
     Replay,
     SimulatedEndpoint,
     create_replay,
     exchange_reports,
+    list_endpoints,
 )
-from testbed.load_patterns import CallerClass, LoadPattern
+from testbed.load_patterns import CallerClass, LoadPattern, Outage
 
 #: One way between any two processes.
 DELAY_SECONDS: Final = 0.001
@@ -40,11 +41,17 @@
 #: Pause of a caller of a long flow between an answer and its next request.
 THINK_SECONDS: Final = 0.7
 
+#: Time after which the entry of a silent endpoint expires.
+ENTRY_LIFETIME_SECONDS: Final = 1.5
+
 _RESPONSE_BYTES: Final = 600
 
 
 def replay_load(
-    pattern: LoadPattern, seed: int = 1, has_goals: bool = True
+    pattern: LoadPattern,
+    seed: int = 1,
+    has_goals: bool = True,
+    options: EdgeOptions = NO_OPTIONS,
 ) -> Replay:
     """Replay a load pattern.
 
@@ -57,18 +64,25 @@
     has_goals : bool
         Whether the balancers know the latency goals; without them they admit
         every flow.
+    options : EdgeOptions
+        Optional parts of the balancers.
 
     Returns
     -------
     Replay
         State after the last event.
     """
-    replay = create_replay(pattern, seed, has_goals)
+    replay = create_replay(pattern, seed, has_goals, options)
     for caller_class in pattern.classes:
         _schedule_class(replay, pattern, caller_class)
     for tick in range(int(pattern.seconds / REPORT_INTERVAL_SECONDS)):
         at = tick * REPORT_INTERVAL_SECONDS
-        _schedule(replay, at, partial(exchange_reports, replay))
+        _schedule(
+            replay,
+            at,
+            partial(exchange_reports, replay, tick, REPORT_INTERVAL_SECONDS),
+        )
+    _schedule_outage(replay, pattern.outage)
     while replay.events:
         at, _number, act = heappop(replay.events)
         replay.now = at
@@ -90,6 +104,25 @@
     heappush(replay.events, (at, next(replay.event_numbers), act))
 
 
+def _schedule_outage(replay: Replay, outage: Outage | None) -> None:
+    """Silence endpoints; their entries follow after a while."""
+    if outage is None:
+        return
+    endpoints = list(replay.endpoints.values())[: outage.endpoints]
+
+    def set_silent(is_silent: bool) -> None:
+        for endpoint in endpoints:
+            endpoint.is_silent = is_silent
+            endpoint.lives += 1
+            endpoint.running = 0
+            endpoint.queue.clear()
+
+    _schedule(replay, outage.start, partial(set_silent, True))
+    _schedule(replay, outage.end, partial(set_silent, False))
+    for at in (outage.start + ENTRY_LIFETIME_SECONDS, outage.end):
+        _schedule(replay, at, partial(list_endpoints, replay))
+
+
 def _schedule_class(
     replay: Replay, pattern: LoadPattern, caller_class: CallerClass
 ) -> None:
@@ -124,6 +157,7 @@
 def _start_request(replay: Replay, caller: Caller) -> None:
     caller.asked_at = replay.now
     caller.tries = 0
+    replay.asked[int(replay.now)] += 1
     _try_request(replay, caller)
 
 
@@ -143,12 +177,15 @@
     packet = _build_packet(caller, PacketKind.OPENING, attempt)
     effect = steer_packet(_pick_balancer(replay, flow), packet, replay.now)
     if isinstance(effect, ForwardFlow):
-        caller.cookie = effect.cookie
-        at = replay.now + 2 * DELAY_SECONDS
-        _schedule(replay, at, lambda: _send_data(replay, caller))
-        return
-    replay.refusals[caller.caller_class.name, effect.reason] += 1
-    if not isinstance(effect, DropPacket):
+        if _answers_opening(replay, effect.cookie):
+            caller.cookie = effect.cookie
+            at = replay.now + 2 * DELAY_SECONDS
+            _schedule(replay, at, lambda: _send_data(replay, caller))
+            return
+        replay.refusals[caller.caller_class.name, 'unanswered'] += 1
+    else:
+        replay.refusals[caller.caller_class.name, effect.reason] += 1
+    if isinstance(effect, ResetFlow):
         _fail_try(replay, caller)
     elif attempt + 1 < len(OPENING_COPY_SECONDS):
         gap = OPENING_COPY_SECONDS[attempt + 1] - OPENING_COPY_SECONDS[attempt]
@@ -162,6 +199,14 @@
         _schedule(replay, replay.now + rest, lambda: _fail_try(replay, caller))
 
 
+def _answers_opening(replay: Replay, cookie: int) -> bool:
+    endpoint = replay.endpoints[cookie]
+    if endpoint.is_silent:
+        return False
+    is_full = len(endpoint.queue) >= endpoint.queue_limit
+    return not (is_full and replay.pattern.leaves_openings_unanswered)
+
+
 def _send_data(replay: Replay, caller: Caller) -> None:
     steering = _pick_balancer(replay, caller.flow)
     packet = _build_packet(caller, PacketKind.DATA)
@@ -179,6 +224,9 @@
 def _arrive(
     replay: Replay, endpoint: SimulatedEndpoint, caller: Caller
 ) -> None:
+    if endpoint.is_silent:
+        _expire_request(replay, caller)
+        return
     if len(endpoint.queue) >= endpoint.queue_limit:
         at = replay.now + DELAY_SECONDS
         _schedule(replay, at, lambda: _receive_rejection(replay, caller))
@@ -196,8 +244,12 @@
 def _run(replay: Replay, endpoint: SimulatedEndpoint, caller: Caller) -> None:
     mean = caller.caller_class.work_seconds
     work_seconds = replay.numbers.uniform(0.5 * mean, 1.5 * mean)
+    lives = endpoint.lives
 
     def finish() -> None:
+        if endpoint.lives != lives:
+            _expire_request(replay, caller)
+            return
         endpoint.running -= 1
         at = replay.now + DELAY_SECONDS
         _schedule(replay, at, lambda: _receive_answer(replay, caller))
@@ -206,6 +258,17 @@
     _schedule(replay, replay.now + work_seconds, finish)
 
 
+def _expire_request(replay: Replay, caller: Caller) -> None:
+    """Let a caller wait out its deadline."""
+    caller.flow = 0
+    deadline = caller.asked_at + caller.caller_class.timeout_seconds
+    _schedule(
+        replay,
+        max(replay.now, deadline),
+        lambda: _finish_request(replay, caller, 'failed'),
+    )
+
+
 def _receive_answer(replay: Replay, caller: Caller) -> None:
     _acknowledge(replay, caller)
     elapsed = replay.now - caller.asked_at
@@ -233,6 +296,9 @@
 
 def _finish_request(replay: Replay, caller: Caller, outcome: str) -> None:
     replay.outcomes[caller.caller_class.name, outcome] += 1
+    if outcome == 'in_goal':
+        replay.in_goal[int(replay.now)] += 1
+        replay.asked_in_goal[int(caller.asked_at)] += 1
     at = replay.now + replay.numbers.uniform(0.5, 1.5) * THINK_SECONDS
     if at < caller.until:
         _schedule(replay, at, lambda: _start_request(replay, caller))
@@ -245,7 +311,7 @@
 
 
 def _pick_balancer(replay: Replay, flow: int) -> Steering:
-    return replay.balancers[flow % BALANCERS]
+    return replay.balancers[flow % len(replay.balancers)]
 
 
 def _build_packet(
