Learn a limit of the requests in flight to an overloaded service

In a flood, an opening that a full endpoint leaves unanswered is repeated until its request is late, and then tried again twice. The endpoints work on requests that are late, in the flood and for seconds after it.

What exceeds it is refused at once, or postponed once if the repetition is still in time. Meanwhile two random endpoints are compared, since all balancers would choose the same one on reports that are seconds old.

--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -1,6 +1,7 @@
 """Steering decisions: where to send each packet of a caller."""
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -29,6 +30,14 @@
 from balsamshed.random_numbers import RandBelow
 from balsamshed.routes.table import Route, RouteTable, choose_newer
 from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
+from balsamshed.steering.overload import (
+    OverloadControl,
+    forget_services,
+    learn_from_answer,
+    learn_from_silence,
+    list_candidates,
+    review_opening,
+)
 from balsamshed.steering.packets import (
     DropPacket,
     ExpectedLoad,
@@ -98,6 +107,8 @@
         Latest samples that the metrics have not yet read.
     options : EdgeOptions
         Optional parts that are switched on.
+    overload : OverloadControl or None
+        Limits of admission, if that part is on.
     """
 
     directory: EndpointDirectory
@@ -112,6 +123,7 @@
         default_factory=lambda: deque(maxlen=MAX_LATENCY_SAMPLES),
     )
     options: EdgeOptions = NO_OPTIONS
+    overload: OverloadControl | None = None
 
 
 def create_steering(
@@ -136,18 +148,26 @@
     options : EdgeOptions
         Optional parts that are switched on.
     """
+    directory = EndpointDirectory(flow_lifetime_seconds)
     requests = RequestTable()
+    load_tracker = EndpointLoadTracker(
+        data_centre,
+        requests.counts,
+        peer_table.in_flight,
+        peer_table.suspecting_peers,
+    )
+    overload = None
+    if options.limits_admission:
+        overload = OverloadControl(
+            directory, requests, load_tracker, peer_table
+        )
     return Steering(
-        EndpointDirectory(flow_lifetime_seconds),
+        directory,
         requests,
-        EndpointLoadTracker(
-            data_centre,
-            requests.counts,
-            peer_table.in_flight,
-            peer_table.suspecting_peers,
-        ),
+        load_tracker,
         randbelow,
         options=options,
+        overload=overload,
     )
 
 
@@ -192,7 +212,7 @@
         endpoint = _find_on_previous_services(steering, packet)
     if endpoint is None:
         return _UNKNOWN_COOKIE
-    _track_request(steering, packet, endpoint.service, now)
+    _track_request(steering, packet, route, endpoint.service, now)
     has_stopped = packet.kind is PacketKind.DATA and _review_endpoint(
         steering, packet, endpoint, now
     )
@@ -227,6 +247,8 @@
     steering.removed_listeners.difference_update(table.routes)
     for service in steering.service_loads.keys() - table.services:
         del steering.service_loads[service]
+    if steering.overload is not None:
+        forget_services(steering.overload, table.services)
     return True
 
 
@@ -276,9 +298,20 @@
     service = _choose_service(steering, route)
     if service is None:
         return _NO_ENDPOINT
+    overload = steering.overload
+    if overload is None:
+        candidates: Sequence[Endpoint] = list_available_endpoints(
+            steering.directory, service
+        )
+    else:
+        if avoided_cookie is not None:
+            learn_from_silence(overload, service, now)
+        candidates = list_candidates(
+            overload, service, avoided_cookie, steering.randbelow, now
+        )
     endpoint = choose_least_loaded(
         steering.load_tracker,
-        list_available_endpoints(steering.directory, service),
+        candidates,
         avoided_cookie,
         steering.randbelow,
         now,
@@ -289,7 +322,9 @@
     if refusal is not None:
         return refusal
     cookie = endpoint.cookie
-    record_opening(steering.requests, packet.flow_key, cookie, now)
+    record_opening(
+        steering.requests, packet.flow_key, cookie, now, packet.listener
+    )
     return ForwardFlow(endpoint, cookie)
 
 
@@ -302,6 +337,8 @@
 ) -> ResetFlow | DropPacket | None:
     """Return the refusal of a flow whose service is overloaded, or None."""
     service = endpoint.service
+    if steering.overload is not None:
+        return _review_limit(steering, packet, route, service, now)
     load = steering.service_loads.setdefault(service, ServiceLoad())
     opening = OpeningRequest(
         get_requests_per_slot(steering.load_tracker, endpoint),
@@ -323,6 +360,26 @@
     return ResetFlow(verdict.reason, expected)
 
 
+def _review_limit(
+    steering: Steering,
+    packet: FlowPacket,
+    route: Route,
+    service: str,
+    now: float,
+) -> ResetFlow | DropPacket | None:
+    """Return the refusal of a flow over the limit of its service, or None."""
+    if steering.overload is None:
+        return None
+    verdict = review_opening(
+        steering.overload, service, packet, route, steering.routes, now
+    )
+    if isinstance(verdict, Admitted):
+        return None
+    if isinstance(verdict, Postponed):
+        return DropPacket(verdict.reason)
+    return ResetFlow(verdict.reason)
+
+
 def _choose_service(steering: Steering, route: Route) -> str | None:
     """Pick a service by weight; None if the weights are all zero."""
     total = sum(share.weight for share in route.shares)
@@ -384,6 +441,7 @@
 def _track_request(
     steering: Steering,
     packet: FlowPacket,
+    route: Route,
     service: str,
     now: float,
 ) -> None:
@@ -395,5 +453,13 @@
     if sample.response_seconds is not None:
         load = steering.service_loads.setdefault(service, ServiceLoad())
         record_duration(load, sample.response_seconds)
+        if steering.overload is not None:
+            learn_from_answer(
+                steering.overload,
+                service,
+                sample.response_seconds,
+                route.latency_goal_seconds,
+                now,
+            )
     if sample.connect_seconds is not None:
         record_answered_opening(steering.load_tracker, cookie)
--- /dev/null
+++ b/balsamshed/steering/overload.py
@@ -0,0 +1,256 @@
+"""Limits of admission on the packet path of one balancer."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+from balsamshed.endpoints.directory import (
+    EndpointDirectory,
+    list_available_endpoints,
+)
+from balsamshed.endpoints.endpoint import Endpoint
+from balsamshed.limits.concurrency import (
+    ConcurrencyLimit,
+    LimitedOpening,
+    admit_within_limit,
+    decrease_limit,
+    is_active,
+    is_most_urgent,
+    is_queueing,
+    record_answer,
+    record_priority,
+    smooth_in_flight,
+)
+from balsamshed.limits.verdicts import Admitted, Postponed, Refused
+from balsamshed.peers.table import PeerTable
+from balsamshed.placement.in_flight import EndpointLoadTracker, is_suspected
+from balsamshed.random_numbers import RandBelow
+from balsamshed.routes.table import Route, RouteTable
+from balsamshed.steering.packets import FlowPacket
+from balsamshed.steering.requests import RequestTable
+
+#: Endpoints that are compared while a service is overloaded.
+OVERLOAD_CANDIDATES: Final = 2
+
+
+@dataclass(slots=True)
+class OverloadControl:
+    """Limits of the services, and what they are learned from.
+
+    Attributes
+    ----------
+    directory : EndpointDirectory
+        Known endpoints.
+    requests : RequestTable
+        Requests in flight.
+    load_tracker : EndpointLoadTracker
+        Suspicions of endpoints.
+    peer_table : PeerTable
+        Peers, which share the endpoints.
+    limits : dict of str to ConcurrencyLimit
+        Limits by service.
+    """
+
+    directory: EndpointDirectory
+    requests: RequestTable
+    load_tracker: EndpointLoadTracker
+    peer_table: PeerTable
+    limits: dict[str, ConcurrencyLimit] = field(default_factory=dict)
+
+
+def learn_from_answer(
+    control: OverloadControl,
+    service: str,
+    duration_seconds: float,
+    goal_seconds: float,
+    now: float,
+) -> None:
+    """Adjust the limit of a service to the duration of a request.
+
+    Parameters
+    ----------
+    control : OverloadControl
+        Changed in place.
+    service : str
+        Service that answered.
+    duration_seconds, goal_seconds : float
+        Duration of the request, and its latency goal; zero for none.
+    now : float
+        Monotonic seconds.
+    """
+    limit = _get_limit(control, service)
+    if record_answer(limit, duration_seconds, goal_seconds):
+        _decrease(control, service, limit, now)
+
+
+def learn_from_silence(
+    control: OverloadControl, service: str, now: float
+) -> None:
+    """Lower the limit of a service that left an opening unanswered.
+
+    If no requests queue, the endpoint is silent for another reason than load.
+
+    Parameters
+    ----------
+    control : OverloadControl
+        Changed in place.
+    service : str
+        Service of the opening.
+    now : float
+        Monotonic seconds.
+    """
+    limit = _get_limit(control, service)
+    if is_queueing(limit):
+        _decrease(control, service, limit, now)
+
+
+def review_opening(
+    control: OverloadControl,
+    service: str,
+    packet: FlowPacket,
+    route: Route,
+    routes: RouteTable,
+    now: float,
+) -> Admitted | Postponed | Refused:
+    """Decide whether a new flow to a service may be opened.
+
+    Parameters
+    ----------
+    control : OverloadControl
+        Changed in place.
+    service : str
+        Service that the flow would go to.
+    packet : FlowPacket
+        Opening packet.
+    route : Route
+        Route of the packet.
+    routes : RouteTable
+        All routes, for the priorities of the requests in flight.
+    now : float
+        Monotonic seconds.
+    """
+    limit = _get_limit(control, service)
+    priority = route.priority
+    record_priority(limit, priority, now)
+    in_flight: float = 0
+    if is_active(limit):
+        if is_most_urgent(limit, priority, now):
+            in_flight = _count_urgent_requests(
+                control.requests, routes, service, priority
+            )
+        else:
+            held = count_held_requests(control, service)
+            in_flight = smooth_in_flight(limit, held, now)
+    opening = LimitedOpening(
+        in_flight, priority, packet.attempt, route.latency_goal_seconds
+    )
+    return admit_within_limit(limit, opening, now)
+
+
+def list_candidates(
+    control: OverloadControl,
+    service: str,
+    avoided_cookie: int | None,
+    randbelow: RandBelow,
+    now: float,
+) -> Sequence[Endpoint]:
+    """Return the endpoints of which the least loaded one is chosen.
+
+    While a service is overloaded, these are a few random ones: reports are
+    old, and all balancers would choose the same least loaded endpoints.
+
+    Parameters
+    ----------
+    control : OverloadControl
+        Limits and suspicions.
+    service : str
+        Service of the new flow.
+    avoided_cookie : int or None
+        Cookie of an endpoint that left the opening unanswered.
+    randbelow : callable
+        Returns a random integer from 0 to below its argument.
+    now : float
+        Monotonic seconds.
+    """
+    available = list_available_endpoints(control.directory, service)
+    if not is_active(_get_limit(control, service)):
+        return available
+    tracker = control.load_tracker
+    usable = [
+        endpoint
+        for endpoint in available
+        if endpoint.cookie != avoided_cookie
+        and not is_suspected(tracker, endpoint.cookie, now)
+    ]
+    if len(usable) <= OVERLOAD_CANDIDATES:
+        return usable or available
+    first = randbelow(len(usable))
+    second = randbelow(len(usable) - 1)
+    if second >= first:
+        second += 1
+    return usable[first], usable[second]
+
+
+def count_held_requests(control: OverloadControl, service: str) -> int:
+    """Return the requests of this balancer that a service's endpoints hold.
+
+    What a removed endpoint held is lost, and probably also what one held that
+    has answered no opening since it was suspected.
+
+    Parameters
+    ----------
+    control : OverloadControl
+        Requests, endpoints and suspicions.
+    service : str
+        Name of the service.
+    """
+    directory = control.directory
+    suspicions = control.load_tracker.suspicions
+    total = 0
+    for cookie, amount in control.requests.counts.items():
+        endpoint = directory.by_cookie.get((service, cookie))
+        if endpoint is None or endpoint.instance not in directory.endpoints:
+            continue
+        if cookie not in suspicions:
+            total += amount
+    return total
+
+
+def forget_services(control: OverloadControl, services: frozenset[str]) -> None:
+    """Remove the limits of all services but the given ones."""
+    for service in control.limits.keys() - services:
+        del control.limits[service]
+
+
+def _count_urgent_requests(
+    requests: RequestTable, routes: RouteTable, service: str, priority: int
+) -> int:
+    total = 0
+    for listener, amount in requests.listener_counts.items():
+        route = routes.routes.get(listener)
+        if route is None or route.priority > priority:
+            continue
+        if any(share.service == service for share in route.shares):
+            total += amount
+    return total
+
+
+def _get_limit(control: OverloadControl, service: str) -> ConcurrencyLimit:
+    return control.limits.setdefault(service, ConcurrencyLimit())
+
+
+def _decrease(
+    control: OverloadControl,
+    service: str,
+    limit: ConcurrencyLimit,
+    now: float,
+) -> None:
+    """Lower a limit, down to an equal share of the slots of the service."""
+    available = list_available_endpoints(control.directory, service)
+    slots = sum(endpoint.slots for endpoint in available)
+    balancers = 1 + sum(
+        peer.report is not None for peer in control.peer_table.peers.values()
+    )
+    held = count_held_requests(control, service)
+    in_flight = smooth_in_flight(limit, held, now)
+    decrease_limit(limit, in_flight, max(1, slots / balancers), now)
--- a/balsamshed/steering/requests.py
+++ b/balsamshed/steering/requests.py
@@ -53,6 +53,8 @@
         Number of times that the caller has sent this packet.
     last_copy_at : float
         Monotonic time of the last copy.
+    listener : int
+        Key of the listener that the flow was opened to.
     """
 
     cookie: int
@@ -62,6 +64,7 @@
     sequence: int = 0
     copies: int = 1
     last_copy_at: float = 0
+    listener: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +96,8 @@
         Requests by flow key, in the order of their start.
     counts : dict of int to int
         Number of pending requests of each endpoint, by cookie.
+    listener_counts : dict of int to int
+        Number of pending requests of each listener, by its key.
     answered_at : dict of int to float
         Monotonic time at which an endpoint last answered an opening packet or
         a request, by cookie.
@@ -102,6 +107,7 @@
 
     pending: dict[bytes, PendingRequest] = field(default_factory=dict)
     counts: dict[int, int] = field(default_factory=dict)
+    listener_counts: dict[int, int] = field(default_factory=dict)
     answered_at: dict[int, float] = field(default_factory=dict)
     path_loss: PathLoss = field(default_factory=PathLoss)
 
@@ -111,14 +117,14 @@
     flow_key: bytes,
     cookie: int,
     now: float,
+    listener: int = 0,
 ) -> None:
     """Record that an opening packet was forwarded to an endpoint."""
     end_request(table, flow_key)
-    _add_request(
-        table,
-        flow_key,
-        PendingRequest(cookie, RequestStage.OPENING, now),
+    request = PendingRequest(
+        cookie, RequestStage.OPENING, now, listener=listener
     )
+    _add_request(table, flow_key, request)
 
 
 def track_packet(
@@ -172,11 +178,8 @@
     request = table.pending.pop(flow_key, None)
     if request is None:
         return
-    count = table.counts.get(request.cookie, 0) - 1
-    if count > 0:
-        table.counts[request.cookie] = count
-    else:
-        table.counts.pop(request.cookie, None)
+    _decrement(table.counts, request.cookie)
+    _decrement(table.listener_counts, request.listener)
 
 
 def record_repetition(
@@ -228,6 +231,14 @@
     return tuple(expired)
 
 
+def _decrement(counts: dict[int, int], key: int) -> None:
+    count = counts.get(key, 0) - 1
+    if count > 0:
+        counts[key] = count
+    else:
+        counts.pop(key, None)
+
+
 def _track_answer(
     table: RequestTable,
     packet: FlowPacket,
@@ -288,6 +299,7 @@
         packet.acknowledged,
         packet.sequence,
         last_copy_at=now,
+        listener=packet.listener,
     )
     _add_request(table, packet.flow_key, request)
 
@@ -302,3 +314,5 @@
     table.pending[flow_key] = request
     counts = table.counts
     counts[request.cookie] = counts.get(request.cookie, 0) + 1
+    counts = table.listener_counts
+    counts[request.listener] = counts.get(request.listener, 0) + 1
--- a/testbed/tests/test_load_replay.py
+++ b/testbed/tests/test_load_replay.py
@@ -2,17 +2,27 @@
 
 import pytest
 
+from balsamshed.steering.options import EdgeOptions
 from testbed.load_patterns import (
     CALM,
     FLOOD_OF_FEEDS,
     FLOOD_OF_IMPATIENT_CALLERS,
     FLOOD_OF_NOTES,
     FLOOD_WITH_LOST_ENDPOINTS,
+    FLOOD_WITH_SILENT_ENDPOINTS,
+    MANY_BALANCERS,
     SHORT_PEAK,
 )
 from testbed.load_replay import get_share, replay_load
 
 SEEDS = (1, 2)
+LIMITED = EdgeOptions(limits_admission=True)
+#: Share of what the endpoints can answer that they must answer in time.
+MIN_GOODPUT = 0.85
+#: Share of the requests after a flood that must be answered in time.
+MIN_CALM = 0.98
+#: Share of the most urgent requests that must be answered in time.
+MIN_URGENT = 0.95
 
 
 def count_in_goal(replay):
@@ -66,3 +76,67 @@
     replay = replay_load(FLOOD_OF_NOTES, seed)
     assert get_share(replay, 'notes') >= get_share(without, 'notes') - 0.02
     assert not any(name == 'notes' for name, _reason in replay.refusals)
+
+
+def list_capacities(pattern):
+    """Return what the endpoints that run can answer in each second.
+
+    In a flood, all urgent requests and a part of the others are answered.
+    """
+    most_urgent = min(pattern.classes, key=lambda kind: kind.priority)
+    other = max(pattern.classes, key=lambda kind: kind.priority)
+    burst, outage = pattern.bursts[0], pattern.outage
+    urgent_rate = most_urgent.per_second * burst.factor
+    capacities = {}
+    for second in range(burst.start, burst.end):
+        endpoints = pattern.endpoints
+        if outage.start <= second < outage.end:
+            endpoints -= outage.endpoints
+        rest_seconds = (
+            endpoints * pattern.slots - urgent_rate * most_urgent.work_seconds
+        )
+        capacities[second] = urgent_rate + rest_seconds / other.work_seconds
+    return capacities
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_flood_leaves_no_work_that_is_late(seed):
+    """Guards against endpoints that work on requests that are late.
+
+    Without a limit, goodput falls to half of what the endpoints that are left
+    can answer, and stays low for seconds after the flood.
+    """
+    pattern = FLOOD_WITH_SILENT_ENDPOINTS
+    replay = replay_load(pattern, seed, options=LIMITED)
+    for second, capacity in list_capacities(pattern).items():
+        assert replay.in_goal[second] >= MIN_GOODPUT * capacity, second
+    flood_end = pattern.bursts[0].end
+    for second in range(flood_end + 1, int(pattern.seconds)):
+        asked = replay.asked[second]
+        assert replay.asked_in_goal[second] >= MIN_CALM * asked, second
+    assert get_share(replay, 'bookings') >= MIN_URGENT
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_limit_keeps_the_urgent_requests_out_of_other_floods(seed):
+    """Guards against urgent requests refused in a flood of long flows."""
+    replay = replay_load(FLOOD_OF_FEEDS, seed, options=LIMITED)
+    without = replay_load(FLOOD_OF_FEEDS, seed)
+    assert get_share(replay, 'notes') >= MIN_URGENT
+    assert count_in_goal(replay) >= 1.2 * count_in_goal(without)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('pattern', [FLOOD_OF_NOTES, FLOOD_WITH_LOST_ENDPOINTS])
+def test_limit_helps_callers_of_all_kinds(pattern, seed):
+    """Guards against a limit that costs one kind what another one gains."""
+    replay = replay_load(pattern, seed, options=LIMITED)
+    without = replay_load(pattern, seed)
+    for name in ('feeds', 'notes'):
+        assert get_share(replay, name) >= get_share(without, name)
+
+
+@pytest.mark.parametrize('pattern', [CALM, MANY_BALANCERS])
+def test_limit_refuses_nothing_at_ordinary_load(pattern):
+    """Guards against callers refused while slots are free."""
+    assert not replay_load(pattern, options=LIMITED).refusals
