Show the limit of admission in logs and metrics

A refusal by the limit logs service, priority, requests in flight, limit and mean duration. The metrics count openings admitted, postponed and refused by priority, and the services that are limited at present.

--- a/balsamshed/edge/explanations.py
+++ b/balsamshed/edge/explanations.py
@@ -6,8 +6,10 @@
 from balsamshed.placement.in_flight import is_suspected, score_endpoint
 from balsamshed.steering.packets import (
     DropPacket,
+    ExpectedLoad,
     FlowPacket,
     ForwardFlow,
+    LimitedLoad,
     ResetFlow,
 )
 from balsamshed.store.polling import get_view_age
@@ -46,25 +48,37 @@
     now: float,
 ) -> Mapping[str, object]:
     """Return the log fields for a packet that was reset or dropped."""
-    load = effect.load
-    load_fields: Mapping[str, object] = {}
-    if load is not None:
-        load_fields = {
-            'requests_per_slot': round(load.requests_per_slot, 2),
-            'expected_seconds': round(load.expected_seconds, 3),
-            'goal_seconds': load.latency_goal_seconds,
-        }
     return {
         'flow': flow,
         'reason': effect.reason,
         'kind': packet.kind.name.lower(),
         'attempt': packet.attempt,
         'cookie': f'{packet.cookie:08x}',
-        **load_fields,
+        **_describe_load(effect.load),
         **_describe_view(edge, now),
     }
 
 
+def _describe_load(
+    load: ExpectedLoad | LimitedLoad | None,
+) -> Mapping[str, object]:
+    if load is None:
+        return {}
+    if isinstance(load, ExpectedLoad):
+        return {
+            'requests_per_slot': round(load.requests_per_slot, 2),
+            'expected_seconds': round(load.expected_seconds, 3),
+            'goal_seconds': load.latency_goal_seconds,
+        }
+    return {
+        'service': load.service,
+        'priority': load.priority,
+        'in_flight': round(load.in_flight, 2),
+        'limit': round(load.limit, 2),
+        'mean_seconds': round(load.mean_seconds, 3),
+    }
+
+
 def _describe_view(edge: Edge, now: float) -> Mapping[str, object]:
     return {
         'version': edge.steering.routes.version,
--- a/balsamshed/front_ends/edge_metrics.py
+++ b/balsamshed/front_ends/edge_metrics.py
@@ -7,6 +7,7 @@
 
 from balsamshed.front_ends.edge_context import EdgeProcess, read_clock
 from balsamshed.placement.in_flight import is_suspected
+from balsamshed.steering.overload import list_limited_services
 from balsamshed.store.polling import get_view_age
 from balsamshed.store.revisions import get_era, get_number
 
@@ -62,6 +63,10 @@
     metrics = get_metrics()
     for name, count in process.counts.items():
         metrics.events.set({'event': name}, count)
+    overload = process.edge.steering.overload
+    if overload is not None:
+        for name, count in overload.counts.items():
+            metrics.events.set({'event': name}, count)
     for name, seconds in process.durations.items():
         while seconds:
             metrics.durations.observe({'of': name}, seconds.popleft())
@@ -88,6 +93,7 @@
     edge, now = process.edge, read_clock()
     steering = edge.steering
     endpoints = steering.directory.endpoints.values()
+    overload = steering.overload
     return {
         'is_ready': int(edge.has_been_ready and edge.stop_requested_at is None),
         'routes_version': steering.routes.version,
@@ -105,6 +111,9 @@
             is_suspected(steering.load_tracker, cookie, now)
             for cookie in steering.load_tracker.suspicions
         ),
+        'services_limited': (
+            0 if overload is None else len(list_limited_services(overload))
+        ),
         'requests_in_flight': len(steering.requests.pending),
         'log_lines_waiting': len(process.log_lines.lines),
     }
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -338,7 +338,9 @@
     """Return the refusal of a flow whose service is overloaded, or None."""
     service = endpoint.service
     if steering.overload is not None:
-        return _review_limit(steering, packet, route, service, now)
+        return review_opening(
+            steering.overload, service, packet, route, steering.routes, now
+        )
     load = steering.service_loads.setdefault(service, ServiceLoad())
     opening = OpeningRequest(
         get_requests_per_slot(steering.load_tracker, endpoint),
@@ -360,26 +362,6 @@
     return ResetFlow(verdict.reason, expected)
 
 
-def _review_limit(
-    steering: Steering,
-    packet: FlowPacket,
-    route: Route,
-    service: str,
-    now: float,
-) -> ResetFlow | DropPacket | None:
-    """Return the refusal of a flow over the limit of its service, or None."""
-    if steering.overload is None:
-        return None
-    verdict = review_opening(
-        steering.overload, service, packet, route, steering.routes, now
-    )
-    if isinstance(verdict, Admitted):
-        return None
-    if isinstance(verdict, Postponed):
-        return DropPacket(verdict.reason)
-    return ResetFlow(verdict.reason)
-
-
 def _choose_service(steering: Steering, route: Route) -> str | None:
     """Pick a service by weight; None if the weights are all zero."""
     total = sum(share.weight for share in route.shares)
--- a/balsamshed/steering/overload.py
+++ b/balsamshed/steering/overload.py
@@ -1,5 +1,6 @@
 """Limits of admission on the packet path of one balancer."""
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
@@ -21,12 +22,17 @@
     record_priority,
     smooth_in_flight,
 )
-from balsamshed.limits.verdicts import Admitted, Postponed, Refused
+from balsamshed.limits.verdicts import Admitted, Postponed
 from balsamshed.peers.table import PeerTable
 from balsamshed.placement.in_flight import EndpointLoadTracker, is_suspected
 from balsamshed.random_numbers import RandBelow
 from balsamshed.routes.table import Route, RouteTable
-from balsamshed.steering.packets import FlowPacket
+from balsamshed.steering.packets import (
+    DropPacket,
+    FlowPacket,
+    LimitedLoad,
+    ResetFlow,
+)
 from balsamshed.steering.requests import RequestTable
 
 #: Endpoints that are compared while a service is overloaded.
@@ -49,6 +55,8 @@
         Peers, which share the endpoints.
     limits : dict of str to ConcurrencyLimit
         Limits by service.
+    counts : Counter of str
+        Decisions about openings, by verdict and priority.
     """
 
     directory: EndpointDirectory
@@ -56,6 +64,7 @@
     load_tracker: EndpointLoadTracker
     peer_table: PeerTable
     limits: dict[str, ConcurrencyLimit] = field(default_factory=dict)
+    counts: Counter[str] = field(default_factory=Counter)
 
 
 def learn_from_answer(
@@ -111,8 +120,8 @@
     route: Route,
     routes: RouteTable,
     now: float,
-) -> Admitted | Postponed | Refused:
-    """Decide whether a new flow to a service may be opened.
+) -> ResetFlow | DropPacket | None:
+    """Return the refusal of a new flow to a service, or None if it may open.
 
     Parameters
     ----------
@@ -144,7 +153,25 @@
     opening = LimitedOpening(
         in_flight, priority, packet.attempt, route.latency_goal_seconds
     )
-    return admit_within_limit(limit, opening, now)
+    verdict = admit_within_limit(limit, opening, now)
+    if isinstance(verdict, Admitted):
+        control.counts[f'opening_admitted_priority_{priority}'] += 1
+        return None
+    load = LimitedLoad(
+        service, priority, in_flight, limit.limit, limit.mean_seconds
+    )
+    if isinstance(verdict, Postponed):
+        control.counts[f'opening_postponed_priority_{priority}'] += 1
+        return DropPacket(verdict.reason, load)
+    control.counts[f'opening_refused_priority_{priority}'] += 1
+    return ResetFlow(verdict.reason, load)
+
+
+def list_limited_services(control: OverloadControl) -> list[str]:
+    """Return the names of the services that are overloaded."""
+    return [
+        service for service, limit in control.limits.items() if is_active(limit)
+    ]
 
 
 def list_candidates(
--- a/balsamshed/steering/packets.py
+++ b/balsamshed/steering/packets.py
@@ -88,6 +88,29 @@
     latency_goal_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class LimitedLoad:
+    """Load and limit of a service that decided about an opening packet.
+
+    Parameters
+    ----------
+    service : str
+        Service that the flow would have gone to.
+    priority : int
+        Priority of the requests of the flow.
+    in_flight, limit : float
+        Requests of this balancer in flight, and their limit.
+    mean_seconds : float
+        Recent mean duration of a request.
+    """
+
+    service: str
+    priority: int
+    in_flight: float
+    limit: float
+    mean_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class ResetFlow:
     """Effect: send the caller a reset, which refuses or ends the flow.
@@ -96,12 +119,12 @@
     ----------
     reason : str
         Reason code for logs and counters.
-    load : ExpectedLoad or None
+    load : ExpectedLoad, LimitedLoad or None
         Load, if it is the reason.
     """
 
     reason: str
-    load: ExpectedLoad | None = None
+    load: ExpectedLoad | LimitedLoad | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,12 +135,12 @@
     ----------
     reason : str
         Reason code for logs and counters.
-    load : ExpectedLoad or None
+    load : ExpectedLoad, LimitedLoad or None
         Load, if it is the reason.
     """
 
     reason: str
-    load: ExpectedLoad | None = None
+    load: ExpectedLoad | LimitedLoad | None = None
 
 
 SteeringEffect = ForwardFlow | ResetFlow | DropPacket
