--- a/balsamshed/steering/tests/test_overload.py
+++ b/balsamshed/steering/tests/test_overload.py
@@ -1,5 +1,7 @@
 """Tests of the limit of admission on the packet path."""
 
+from balsamshed.edge.explanations import explain_refusal
+from balsamshed.edge.state import create_edge
 from balsamshed.edge.tests.builders import (
     LISTENER,
     always_zero,
@@ -24,7 +26,7 @@
     list_candidates,
     list_limited_services,
 )
-from balsamshed.steering.packets import ForwardFlow, ResetFlow
+from balsamshed.steering.packets import ForwardFlow, LimitedLoad, ResetFlow
 from balsamshed.steering.requests import end_request, record_opening
 
 ENDPOINTS = tuple(build_endpoint(number) for number in range(1, 6))
@@ -133,3 +135,13 @@
     steering = build_overloaded_steering()
     replace_routes(steering, build_table(2, p443='files'))
     assert not steering.overload.limits
+
+
+def test_refusal_by_the_limit_is_explained():
+    """Guards against log lines that do not say why a caller was refused."""
+    options = EdgeOptions(limits_admission=True)
+    edge = create_edge('a', '10.9.0.1', 60, 6, False, always_zero, 0, options)
+    refusal = ResetFlow('over_limit', LimitedLoad('web', 1, 3.2, 2.5, 0.1))
+    fields = explain_refusal(edge, build_packet(), 'flow', refusal, 1)
+    assert fields['service'] == 'web'
+    assert fields['in_flight'] > fields['limit']
