--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -42,6 +42,14 @@
 from balsamshed.random_numbers import RandBelow
 from balsamshed.routes.table import Route, RouteTable, choose_newer
 from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
+from balsamshed.steering.overload import (
+    OverloadControl,
+    forget_services,
+    learn_from_answer,
+    learn_from_silence,
+    review_opening,
+    sample_candidates,
+)
 from balsamshed.steering.packets import (
     DropPacket,
     ExpectedLoad,
@@ -117,6 +125,8 @@
         Optional parts that are switched on.
     cold_starts : ColdStarts or None
         Limits of the endpoints that are warming up; None if the part is off.
+    overload : OverloadControl or None
+        Limits of admission, if that part is on.
     """
 
     directory: EndpointDirectory
@@ -132,6 +142,7 @@
     evacuations: EvacuationState = field(default_factory=EvacuationState)
     options: EdgeOptions = NO_OPTIONS
     cold_starts: ColdStarts | None = None
+    overload: OverloadControl | None = None
 
 
 def create_steering(
@@ -156,16 +167,23 @@
     options : EdgeOptions
         Optional parts that are switched on.
     """
+    directory = EndpointDirectory(flow_lifetime_seconds)
     requests = RequestTable()
+    load_tracker = EndpointLoadTracker(
+        data_centre,
+        requests.counts,
+        peer_table.in_flight,
+        peer_table.suspecting_peers,
+    )
+    overload = None
+    if options.limits_admission:
+        overload = OverloadControl(
+            directory, requests, load_tracker, peer_table
+        )
     return Steering(
-        EndpointDirectory(flow_lifetime_seconds),
+        directory,
         requests,
-        EndpointLoadTracker(
-            data_centre,
-            requests.counts,
-            peer_table.in_flight,
-            peer_table.suspecting_peers,
-        ),
+        load_tracker,
         randbelow,
         options=options,
         cold_starts=(
@@ -173,6 +191,7 @@
             if options.cold_start_limit
             else None
         ),
+        overload=overload,
     )
 
 
@@ -222,7 +241,7 @@
         )
     if endpoint is None:
         return _UNKNOWN_COOKIE
-    _track_request(steering, packet, endpoint.service, now)
+    _track_request(steering, packet, route, endpoint.service, now)
     has_stopped = packet.kind is PacketKind.DATA and _review_endpoint(
         steering, packet, endpoint, now
     )
@@ -256,6 +275,8 @@
     steering.removed_listeners.difference_update(table.routes)
     for service in steering.service_loads.keys() - table.services:
         del steering.service_loads[service]
+    if steering.overload is not None:
+        forget_services(steering.overload, table.services)
     return True
 
 
@@ -305,7 +326,7 @@
         return _NO_ENDPOINT
     endpoint = choose_least_loaded(
         steering.load_tracker,
-        list_candidates(steering, service, now),
+        _sample_candidates(steering, service, avoided_cookie, now),
         avoided_cookie,
         steering.randbelow,
         now,
@@ -318,7 +339,9 @@
     cookie = endpoint.cookie
     if steering.cold_starts is not None:
         record_cold_opening(steering.cold_starts, cookie, now)
-    record_opening(steering.requests, packet.flow_key, cookie, now)
+    record_opening(
+        steering.requests, packet.flow_key, cookie, now, packet.listener
+    )
     return ForwardFlow(endpoint, cookie)
 
 
@@ -354,6 +377,21 @@
     return list_open_endpoints(cold_starts, candidates, now)
 
 
+def _sample_candidates(
+    steering: Steering, service: str, avoided_cookie: int | None, now: float
+) -> tuple[Endpoint, ...]:
+    """Return the endpoints of which the least loaded one is chosen."""
+    candidates = list_candidates(steering, service, now)
+    overload = steering.overload
+    if overload is None:
+        return candidates
+    if avoided_cookie is not None:
+        learn_from_silence(overload, service, now)
+    return sample_candidates(
+        overload, service, candidates, avoided_cookie, steering.randbelow, now
+    )
+
+
 def _list_permitted(steering: Steering, service: str) -> tuple[Endpoint, ...]:
     """Return the endpoints of a service that operators allow to take flows."""
     available = list_available_endpoints(steering.directory, service)
@@ -383,6 +421,10 @@
 ) -> ResetFlow | DropPacket | None:
     """Return the refusal of a flow whose service is overloaded, or None."""
     service = endpoint.service
+    if steering.overload is not None:
+        return review_opening(
+            steering.overload, service, packet, route, steering.routes, now
+        )
     load = steering.service_loads.setdefault(service, ServiceLoad())
     opening = OpeningRequest(
         get_requests_per_slot(steering.load_tracker, endpoint),
@@ -457,6 +499,7 @@
 def _track_request(
     steering: Steering,
     packet: FlowPacket,
+    route: Route,
     service: str,
     now: float,
 ) -> None:
@@ -468,5 +511,14 @@
     if sample.response_seconds is not None:
         load = steering.service_loads.setdefault(service, ServiceLoad())
         record_duration(load, sample.response_seconds)
+        if steering.overload is not None:
+            learn_from_answer(
+                steering.overload,
+                service,
+                sample.response_seconds,
+                sample.answer_bytes,
+                route,
+                now,
+            )
     if sample.connect_seconds is not None:
         record_answered_opening(steering.load_tracker, cookie)
--- a/balsamshed/steering/requests.py
+++ b/balsamshed/steering/requests.py
@@ -64,6 +64,8 @@
         the next, the way to other endpoints worked.
     proven_since : float
         Monotonic time of the first of these copies.
+    listener : int
+        Key of the listener that the flow was opened to.
     """
 
     cookie: int
@@ -75,6 +77,7 @@
     last_copy_at: float = 0
     proven_copies: int = 1
     proven_since: float = 0
+    listener: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,11 +92,14 @@
         Time from the opening packet to the caller's next packet.
     response_seconds : float or None
         Time from the request to the acknowledgement of its answer.
+    answer_bytes : int
+        Bytes of the answer that this acknowledgement covers.
     """
 
     cookie: int
     connect_seconds: float | None = None
     response_seconds: float | None = None
+    answer_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -106,6 +112,8 @@
         Requests by flow key, in the order of their start.
     counts : dict of int to int
         Number of pending requests of each endpoint, by cookie.
+    listener_counts : dict of int to int
+        Number of pending requests of each listener, by its key.
     answered_at : dict of int to float
         Monotonic time at which an endpoint last answered an opening packet or
         a request, by cookie.
@@ -115,6 +123,7 @@
 
     pending: dict[bytes, PendingRequest] = field(default_factory=dict)
     counts: dict[int, int] = field(default_factory=dict)
+    listener_counts: dict[int, int] = field(default_factory=dict)
     answered_at: dict[int, float] = field(default_factory=dict)
     path_loss: PathLoss = field(default_factory=PathLoss)
 
@@ -124,6 +133,7 @@
     flow_key: bytes,
     cookie: int,
     now: float,
+    listener: int = 0,
 ) -> None:
     """Record that an opening packet was forwarded to an endpoint."""
     previous = table.pending.get(flow_key)
@@ -131,7 +141,9 @@
         previous is not None and previous.stage is RequestStage.OPENING
     )
     end_request(table, flow_key)
-    request = PendingRequest(cookie, RequestStage.OPENING, now)
+    request = PendingRequest(
+        cookie, RequestStage.OPENING, now, listener=listener
+    )
     if is_repeated:
         request.copies += 1
     _add_request(table, flow_key, request)
@@ -189,11 +201,8 @@
     request = table.pending.pop(flow_key, None)
     if request is None:
         return
-    count = table.counts.get(request.cookie, 0) - 1
-    if count > 0:
-        table.counts[request.cookie] = count
-    else:
-        table.counts.pop(request.cookie, None)
+    _decrement(table.counts, request.cookie)
+    _decrement(table.listener_counts, request.listener)
 
 
 def record_repetition(
@@ -245,6 +254,14 @@
     return tuple(expired)
 
 
+def _decrement(counts: dict[int, int], key: int) -> None:
+    count = counts.get(key, 0) - 1
+    if count > 0:
+        counts[key] = count
+    else:
+        counts.pop(key, None)
+
+
 def _track_answer(
     table: RequestTable,
     packet: FlowPacket,
@@ -273,6 +290,7 @@
     return LatencySample(
         request.cookie,
         response_seconds=now - request.started_at,
+        answer_bytes=advance,
     )
 
 
@@ -326,6 +344,7 @@
         packet.sequence,
         last_copy_at=now,
         proven_since=now,
+        listener=packet.listener,
     )
     _add_request(table, packet.flow_key, request)
 
@@ -340,3 +359,5 @@
     table.pending[flow_key] = request
     counts = table.counts
     counts[request.cookie] = counts.get(request.cookie, 0) + 1
+    counts = table.listener_counts
+    counts[request.listener] = counts.get(request.listener, 0) + 1
