Hedge openings of idempotent routes, off by default

Cause: an opening whose first packet was lost, or whose endpoint has just stopped, waits 200 ms for the caller's repetition. Operators accept some extra work for idempotent requests if it cuts the slowest answers. Change: with hedged_share and hedge_burst, an opening that is not taken up within a delay learned from recent ones goes to a second endpoint that has answered lately and has a free slot. A token bucket keeps hedges a share of the openings; none is sent while the path loses packets. An endpoint that left its opening to a hedge and answers nothing for 200 ms is suspected as before.

--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -16,6 +16,7 @@
     expire_missing,
     extend_missing_retention,
 )
+from balsamshed.limits.hedging import SentHedge
 from balsamshed.peers.report import (
     EndpointReport,
     PeerReport,
@@ -28,6 +29,7 @@
     pick_shared_addresses,
 )
 from balsamshed.placement.in_flight import EndpointLoadTracker, is_suspected
+from balsamshed.steering.hedged_openings import review_hedges
 from balsamshed.steering.path_loss import is_path_lossy
 from balsamshed.steering.requests import PendingRequest, expire_requests
 from balsamshed.store.polling import (
@@ -63,6 +65,8 @@
     steering = edge.steering
     for flow_key, request in expire_requests(steering.requests, now):
         effects.append(_describe_unanswered(flow_key, request, now))
+    for hedge in review_hedges(steering, now):
+        effects.append(_describe_won_hedge(hedge))
     changes = expire_missing(steering.directory, now)
     effects.extend(apply_endpoint_changes(steering, changes, now))
     for host in expire_peers(edge.peer_table, now):
@@ -177,6 +181,17 @@
     )
 
 
+def _describe_won_hedge(hedge: SentHedge) -> LogEvent:
+    return LogEvent(
+        'hedge_won',
+        {
+            'flow': hedge.flow_key,
+            'first_cookie': f'{hedge.first_cookie:08x}',
+            'second_cookie': f'{hedge.second_cookie:08x}',
+        },
+    )
+
+
 def _may_stop(edge: Edge, now: float) -> bool:
     elapsed = now - (edge.stop_requested_at or 0)
     if elapsed >= edge.grace_seconds - STOP_RESERVE_SECONDS:
--- a/balsamshed/front_ends/edge_packets.py
+++ b/balsamshed/front_ends/edge_packets.py
@@ -1,6 +1,7 @@
 """Packet socket of an edge balancer."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from functools import partial
 from socket import socket as Socket
 from typing import Final
 
@@ -14,6 +15,10 @@
     read_clock,
     record_duration,
 )
+from balsamshed.steering.hedged_openings import (
+    get_hedge_delay,
+    hedge_opening,
+)
 from balsamshed.steering.packets import (
     DropPacket,
     FlowPacket,
@@ -49,15 +54,10 @@
         effect = handle_packet(edge, packet, now)
         counts['packets'] += 1
         if isinstance(effect, ForwardFlow):
-            endpoint = effect.endpoint
-            forwarded = wire.encode_forwarded(
-                datagram,
-                endpoint.instance,
-                effect.cookie,
-            )
-            port.send(forwarded, (endpoint.host, endpoint.port))
+            forward(datagram, effect)
             if packet.kind is PacketKind.OPENING:
                 _log_opening(process, packet, effect, now)
+                _schedule_hedge(process, packet, partial(forward, datagram))
         else:
             if isinstance(effect, ResetFlow):
                 caller = (wire.get_caller_address(datagram), caller_port)
@@ -66,6 +66,13 @@
         if not counts['packets'] % PACKETS_PER_MEASUREMENT:
             record_duration(process, 'packet', read_clock() - now)
 
+    def forward(datagram: bytes, effect: ForwardFlow) -> None:
+        endpoint = effect.endpoint
+        forwarded = wire.encode_forwarded(
+            datagram, endpoint.instance, effect.cookie
+        )
+        port.send(forwarded, (endpoint.host, endpoint.port))
+
     def count(name: str) -> None:
         counts[name] += 1
 
@@ -78,6 +85,27 @@
     )
 
 
+def _schedule_hedge(
+    process: EdgeProcess,
+    packet: FlowPacket,
+    forward: Callable[[ForwardFlow], None],
+) -> None:
+    """Send an opening to a second endpoint unless it is taken up soon."""
+    steering, counts = process.edge.steering, process.counts
+
+    def send_hedge() -> None:
+        outcome = hedge_opening(steering, packet, read_clock())
+        if isinstance(outcome, ForwardFlow):
+            forward(outcome)
+            counts['hedge_sent'] += 1
+        elif outcome is not None:
+            counts[f'hedge_withheld_{outcome}'] += 1
+
+    delay_seconds = get_hedge_delay(steering, packet)
+    if delay_seconds is not None:
+        process.loop.call_later(delay_seconds, send_hedge)
+
+
 def _log_opening(
     process: EdgeProcess,
     packet: FlowPacket,
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -17,6 +17,12 @@
     estimate_seconds,
     record_duration,
 )
+from balsamshed.limits.hedging import (
+    Hedging,
+    create_hedging,
+    record_opened,
+    record_taken_up,
+)
 from balsamshed.limits.verdicts import Admitted, Postponed
 from balsamshed.peers.table import PeerTable
 from balsamshed.placement.in_flight import (
@@ -96,6 +102,8 @@
         Durations and free slots of each service.
     latency_samples : deque of LatencySample
         Latest samples that the metrics have not yet read.
+    hedging : Hedging or None
+        Budget and state of hedged openings; None where none are sent.
     options : EdgeOptions
         Optional parts that are switched on.
     """
@@ -111,6 +119,7 @@
     latency_samples: deque[LatencySample] = field(
         default_factory=lambda: deque(maxlen=MAX_LATENCY_SAMPLES),
     )
+    hedging: Hedging | None = None
     options: EdgeOptions = NO_OPTIONS
 
 
@@ -147,6 +156,7 @@
             peer_table.suspecting_peers,
         ),
         randbelow,
+        hedging=create_hedging(options.hedge_limit),
         options=options,
     )
 
@@ -187,7 +197,7 @@
         return _classify_unrouted(steering, packet)
     if packet.kind is PacketKind.OPENING:
         return _open_flow(steering, packet, route, now)
-    endpoint = _find_on_route(steering, route, packet.cookie)
+    endpoint = find_on_route(steering, route, packet.cookie)
     if endpoint is None:
         endpoint = _find_on_previous_services(steering, packet)
     if endpoint is None:
@@ -264,7 +274,7 @@
     previous = steering.requests.pending.get(packet.flow_key)
     if previous is not None and previous.stage is RequestStage.OPENING:
         if now - previous.started_at < MIN_RETRANSMISSION_SECONDS:
-            endpoint = _find_on_route(steering, route, previous.cookie)
+            endpoint = find_on_route(steering, route, previous.cookie)
             if endpoint is not None and not endpoint.is_draining:
                 return ForwardFlow(endpoint, previous.cookie)
         elif packet.attempt:
@@ -290,6 +300,8 @@
         return refusal
     cookie = endpoint.cookie
     record_opening(steering.requests, packet.flow_key, cookie, now)
+    if steering.hedging is not None:
+        record_opened(steering.hedging)
     return ForwardFlow(endpoint, cookie)
 
 
@@ -336,11 +348,12 @@
     return share.service
 
 
-def _find_on_route(
+def find_on_route(
     steering: Steering,
     route: Route,
     cookie: int,
 ) -> Endpoint | None:
+    """Return the endpoint of a cookie among the services of a route."""
     for share in route.shares:
         endpoint = find_endpoint(steering.directory, share.service, cookie)
         if endpoint is not None:
@@ -397,3 +410,10 @@
         record_duration(load, sample.response_seconds)
     if sample.connect_seconds is not None:
         record_answered_opening(steering.load_tracker, cookie)
+        if steering.hedging is not None:
+            record_taken_up(
+                steering.hedging,
+                packet.flow_key,
+                cookie,
+                sample.connect_seconds,
+            )
