--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -24,6 +24,12 @@
     estimate_seconds,
     record_duration,
 )
+from balsamshed.limits.hedging import (
+    Hedging,
+    create_hedging,
+    record_opened,
+    record_taken_up,
+)
 from balsamshed.limits.verdicts import Admitted, Postponed
 from balsamshed.peers.table import PeerTable
 from balsamshed.placement.cold_starts import (
@@ -121,6 +127,8 @@
         Latest samples that the metrics have not yet read.
     evacuations : EvacuationState
         Data centres whose endpoints get no new flows.
+    hedging : Hedging or None
+        Budget and state of hedged openings; None where none are sent.
     options : EdgeOptions
         Optional parts that are switched on.
     cold_starts : ColdStarts or None
@@ -140,6 +148,7 @@
         default_factory=lambda: deque(maxlen=MAX_LATENCY_SAMPLES),
     )
     evacuations: EvacuationState = field(default_factory=EvacuationState)
+    hedging: Hedging | None = None
     options: EdgeOptions = NO_OPTIONS
     cold_starts: ColdStarts | None = None
     overload: OverloadControl | None = None
@@ -185,6 +194,7 @@
         requests,
         load_tracker,
         randbelow,
+        hedging=create_hedging(options.hedge_limit),
         options=options,
         cold_starts=(
             ColdStarts(options.cold_start_limit, peer_table.own_host)
@@ -231,7 +241,7 @@
         return _classify_unrouted(steering, packet)
     if packet.kind is PacketKind.OPENING:
         return _open_flow(steering, packet, route, now)
-    endpoint = _find_on_route(steering, route, packet.cookie)
+    endpoint = find_on_route(steering, route, packet.cookie)
     if endpoint is None:
         # An earlier version may have sent new flows to another service, and
         # this balancer may have started since. An endpoint resets packets of
@@ -337,12 +347,20 @@
     if refusal is not None:
         return refusal
     cookie = endpoint.cookie
+    _record_opening(steering, packet, cookie, now)
+    return ForwardFlow(endpoint, cookie)
+
+
+def _record_opening(
+    steering: Steering, packet: FlowPacket, cookie: int, now: float
+) -> None:
     if steering.cold_starts is not None:
         record_cold_opening(steering.cold_starts, cookie, now)
+    if steering.hedging is not None:
+        record_opened(steering.hedging)
     record_opening(
         steering.requests, packet.flow_key, cookie, now, packet.listener
     )
-    return ForwardFlow(endpoint, cookie)
 
 
 def _takes_new_flows(steering: Steering, endpoint: Endpoint) -> bool:
@@ -355,7 +373,7 @@
     steering: Steering, route: Route, request: PendingRequest, now: float
 ) -> ForwardFlow | DropPacket | None:
     """Forward a duplicated opening packet to the endpoint of the first one."""
-    endpoint = _find_on_route(steering, route, request.cookie)
+    endpoint = find_on_route(steering, route, request.cookie)
     if endpoint is None or not _takes_new_flows(steering, endpoint):
         return None
     cold_starts = steering.cold_starts
@@ -459,11 +477,12 @@
     return share.service
 
 
-def _find_on_route(
+def find_on_route(
     steering: Steering,
     route: Route,
     cookie: int,
 ) -> Endpoint | None:
+    """Return the endpoint of a cookie among the services of a route."""
     for share in route.shares:
         endpoint = find_endpoint(steering.directory, share.service, cookie)
         if endpoint is not None:
@@ -522,3 +541,10 @@
             )
     if sample.connect_seconds is not None:
         record_answered_opening(steering.load_tracker, cookie)
+        if steering.hedging is not None:
+            record_taken_up(
+                steering.hedging,
+                packet.flow_key,
+                cookie,
+                sample.connect_seconds,
+            )
