Change the store between the lists of one read in the state machine

The machine answered each read as of one revision, so it could not show a view that claims a revision whose evacuations it has not read. It fails now if the comparison of revisions is removed, if evacuations always count as known at the revision of the endpoints, and if changes of endpoints may account for one revision too many.

--- a/testbed/tests/test_evacuation_exchange.py
+++ b/testbed/tests/test_evacuation_exchange.py
@@ -1,12 +1,14 @@
 """State machine test of how balancers pass evacuations on."""
 
 import json
+from dataclasses import replace
 from functools import partial
 
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, invariant, rule
 
+from balsamshed.edge.effects import ReadSource
 from balsamshed.edge.evacuations import (
     handle_evacuations,
     is_evacuation_read_due,
@@ -17,6 +19,7 @@
     build_view,
 )
 from balsamshed.edge.views import handle_endpoints, handle_routes
+from balsamshed.endpoints.directory import EndpointView
 from balsamshed.evacuations.view import EvacuationView
 from balsamshed.peers.table import add_peer_addresses
 from balsamshed.steering.options import EdgeOptions
@@ -25,9 +28,15 @@
     set_pending_revision,
     start_read,
 )
-from testbed.tests.test_view_exchange import BALANCERS, ViewExchangeMachine
+from testbed.tests.test_view_exchange import (
+    BALANCERS,
+    ENDPOINTS,
+    ViewExchangeMachine,
+    describe_endpoints,
+)
 
 DATA_CENTRES = st.sampled_from('ab')
+CHANGES = ('write_entry', 'remove_entry', 'evacuate', 'take_back')
 OPTIONS = EdgeOptions(follows_evacuations=True)
 
 
@@ -40,6 +49,8 @@
         self.evacuated = {}
         self.evacuated_at = {1: frozenset()}
         self.last_seen = {}
+        self.written_at = {}
+        self.former = {}
 
     def start(self, host):
         """Return a balancer that has just started."""
@@ -51,18 +62,67 @@
         """Record what the store lists after a change."""
         super().record_revision()
         self.evacuated_at[self.revision] = frozenset(self.evacuated)
-
-    def read(self, host):
-        """Answer a read of the store at once."""
+        self.written_at = {
+            number: self.written_at.get(number, self.revision)
+            if self.former.get(number) is endpoint
+            else self.revision
+            for number, endpoint in self.listed.items()
+        }
+        self.former = dict(self.listed)
+
+    def read(self, host, change=None):
+        """Answer a read of the store; it may change between the lists."""
         edge = self.edges[host]
         start_read(edge.reads, self.now, follows_evacuations=True)
         view = EvacuationView(self.revision, dict(self.evacuated))
         handle_evacuations(edge, view, self.now)
         if edge.reads.started_at is None:
             return
-        endpoints = build_view(self.revision, *self.listed.values())
-        handle_endpoints(edge, endpoints, self.now)
-        handle_routes(edge, build_table(1), self.now)
+        if change is not None:
+            change()
+        endpoints = EndpointView(
+            self.revision,
+            tuple(self.listed.values()),
+            self.revision,
+            frozenset(self.written_at.values()),
+        )
+        effects = handle_endpoints(edge, endpoints, self.now)
+        if any(type(effect) is ReadSource for effect in effects):
+            handle_routes(edge, build_table(1), self.now, self.revision)
+
+    @rule(reader=BALANCERS)
+    def lapse_and_return(self, reader):
+        """All entries lapse, one balancer reads, and all entries return."""
+        entries = self.listed
+        for number in tuple(entries):
+            self.listed = {**self.listed}
+            self.remove_entry(number)
+        self.read(self.pick_host(reader))
+        for number, endpoint in entries.items():
+            self.listed = {**self.listed, number: replace(endpoint)}
+            self.record_revision()
+
+    @rule(
+        position=BALANCERS,
+        number=ENDPOINTS,
+        data_centre=DATA_CENTRES,
+        changes=st.lists(st.sampled_from(CHANGES), min_size=1, max_size=3),
+    )
+    def change_within_a_read(self, position, number, data_centre, changes):
+        """The store changes between the lists of one read, and before it."""
+
+        def change():
+            for name in changes:
+                if name == 'remove_entry':
+                    self.remove_entry(number)
+                elif name == 'write_entry':
+                    self.write_entry(number, is_draining=False, start=1)
+                else:
+                    getattr(self, name)(data_centre)
+
+        host = self.pick_host(position)
+        self.write_entry(number, is_draining=True, start=2)
+        self.read(host, change)
 
     @rule(data_centre=DATA_CENTRES)
     def evacuate(self, data_centre):
@@ -120,6 +180,18 @@
             state = edge.steering.evacuations
             assert state.revision >= edge.reads.revision
 
+    @invariant()
+    def views_hold_what_the_store_listed(self):
+        """A view holds what the store listed within its revisions."""
+        for edge in self.edges.values():
+            history = edge.history
+            assert history.revision >= edge.reads.revision
+            if history.revision >= 0:
+                known = describe_endpoints(history.endpoints.values())
+                newest = history.max_revision
+                revisions = range(history.revision, newest + 1)
+                assert known in map(self.listed_at.get, revisions)
+
     @invariant()
     def evacuations_are_those_of_the_store(self):
         """Evacuations are what the store listed at their revision."""
