Let rejections start the limit, not lower it

Cause: with each rejection as a sign to lower the limit, 60 balancers kept it too low.

Change: a rejection starts the limit while requests queue, and then changes it no further.

--- a/balsamshed/limits/concurrency.py
+++ b/balsamshed/limits/concurrency.py
@@ -157,7 +157,7 @@
     """
     _count(limit, limit.answers, priority)
     if _is_rejection(limit, priority, answer_bytes):
-        return is_queueing(limit)
+        return is_queueing(limit) and not is_active(limit)
     mean_seconds = limit.mean_seconds or duration_seconds
     mean_seconds += DURATION_WEIGHT * (duration_seconds - mean_seconds)
     limit.mean_seconds = mean_seconds
