Explain where a new flow of a route would go

Cause: nothing told an operator where a flow would go now, and why. Change: explain-placement asks a running balancer, which runs the functions of its packet path on a copy of the state that they change. The list of commands without a store in the test of the reference page gains the new one.

--- a/balsamshed/commands/command_table.py
+++ b/balsamshed/commands/command_table.py
@@ -26,6 +26,7 @@
     list_objects,
     watch,
 )
+from balsamshed.commands.placements import explain_placement
 from balsamshed.commands.reports import status, wait
 from balsamshed.commands.stories import story
 
@@ -35,6 +36,7 @@
         'check-settings': check_settings,
         'check-edge-settings': check_edge_settings,
         'edge-status': edge_status,
+        'explain-placement': explain_placement,
         'story': story,
         'show-defaults': show_defaults,
         'apply': apply,
--- a/balsamshed/commands/tests/test_reference.py
+++ b/balsamshed/commands/tests/test_reference.py
@@ -91,6 +91,7 @@
         'check-settings',
         'check-edge-settings',
         'edge-status',
+        'explain-placement',
         'story',
         'show-defaults',
         'version',
--- a/balsamshed/front_ends/edge_process.py
+++ b/balsamshed/front_ends/edge_process.py
@@ -44,6 +44,8 @@
 METRICS_PATH: Final = '/metrics'
 #: Path of the summary for operators, at the same address.
 SUMMARY_PATH: Final = '/summary'
+#: Path of the explanation of a placement; a query names the route.
+PLACEMENT_PATH: Final = '/placement'
 
 _OK: Final = 200
 
@@ -175,4 +177,9 @@
         from balsamshed.front_ends.edge_summary import render_summary
 
         return ServerResponse(_OK, render_summary(process), 'application/json')
+    path, _, query = target.partition('?')
+    if path == PLACEMENT_PATH:
+        from balsamshed.front_ends.edge_placement import render_placement
+
+        return render_placement(process, query)
     return ServerResponse(404)
