Balance endpoints by their speed, off by default

Placement compared requests in flight only, so that endpoints which take twice as long got the same share. With balance_by_speed, each balancer estimates the relative duration of each endpoint's requests, sends its own observations to its peers in a supplement to the reports, and compares the expected time of an answer.

Off, the decisions, random numbers and datagrams are as before.

--- a/balsamshed/edge/effects.py
+++ b/balsamshed/edge/effects.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from balsamshed.peers.report import PeerReport
+from balsamshed.peers.supplement import Supplement
 from balsamshed.store.polling import Source
 
 
@@ -74,6 +75,22 @@
     hosts: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SendSupplement:
+    """Effect: send a supplement of the reports to a peer.
+
+    Parameters
+    ----------
+    supplement : Supplement
+        What this balancer has observed.
+    host : str
+        IPv4 address of the peer.
+    """
+
+    supplement: Supplement
+    host: str
+
+
 @dataclass(frozen=True, slots=True)
 class DiscardPackets:
     """Effect: discard the packets of callers that have arrived so far."""
@@ -93,6 +110,7 @@
     ReadSource
     | FetchView
     | SendReport
+    | SendSupplement
     | LogEvent
     | DiscardPackets
     | AcceptPackets
--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -10,6 +10,7 @@
     SendReport,
     StopProcess,
 )
+from balsamshed.edge.speeds import share_speeds
 from balsamshed.edge.state import MAX_QUEUED_SECONDS, Edge, detect_pause
 from balsamshed.edge.views import apply_endpoint_changes
 from balsamshed.endpoints.directory import (
@@ -30,6 +31,7 @@
 from balsamshed.placement.in_flight import EndpointLoadTracker, is_suspected
 from balsamshed.steering.path_loss import is_path_lossy
 from balsamshed.steering.requests import PendingRequest, expire_requests
+from balsamshed.steering.response_times import record_missing_answer
 from balsamshed.store.polling import (
     get_view_age,
     is_read_due,
@@ -63,6 +65,10 @@
     steering = edge.steering
     for flow_key, request in expire_requests(steering.requests, now):
         effects.append(_describe_unanswered(flow_key, request, now))
+        if steering.speeds is not None:
+            record_missing_answer(
+                steering.speeds, steering.requests, request, now
+            )
     changes = expire_missing(steering.directory, now)
     effects.extend(apply_endpoint_changes(steering, changes, now))
     for host in expire_peers(edge.peer_table, now):
@@ -72,6 +78,7 @@
         source = start_read(edge.reads, now)
         effects.append(ReadSource(source, edge.reads.may_be_stale))
     effects.extend(_update_suspected_cookies(edge, now))
+    effects.extend(share_speeds(edge, now))
     report = create_report(edge, now)
     targets = pick_report_targets(
         edge.peer_table, calculate_wire_size(report), now
--- a/balsamshed/edge/peer_views.py
+++ b/balsamshed/edge/peer_views.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from balsamshed.edge.effects import EdgeEffect, FetchView, LogEvent
+from balsamshed.edge.speeds import greet_peer
 from balsamshed.edge.state import Edge, detect_pause
 from balsamshed.edge.views import (
     apply_endpoints,
@@ -43,6 +44,7 @@
     """Apply a peer's report, and fetch its view if it is newer."""
     effects: list[EdgeEffect] = []
     if record_report(edge.peer_table, host, report, now):
+        greet_peer(edge, host)
         effects.append(
             LogEvent(
                 'peer_found',
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from balsamshed.endpoints.history import ViewHistory
+from balsamshed.peers.supplement import SupplementSchedule
 from balsamshed.peers.table import PeerTable
 from balsamshed.random_numbers import RandBelow
 from balsamshed.steering.decisions import Steering, create_steering, is_ready
@@ -78,6 +79,10 @@
         Whether it has ever been ready.
     suspected_cookies : frozenset of int
         Cookies of the endpoints that were under suspicion at the last tick.
+    supplements : SupplementSchedule
+        When supplements to the reports are sent.
+    speeds_refreshed_at : float
+        Time at which the speeds of endpoints were last refreshed.
     """
 
     data_centre: str
@@ -103,6 +108,8 @@
     has_accepted_packets: bool = False
     has_been_ready: bool = False
     suspected_cookies: frozenset[int] = frozenset()
+    supplements: SupplementSchedule = field(default_factory=SupplementSchedule)
+    speeds_refreshed_at: float = 0
 
 
 def create_edge(
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -21,6 +21,7 @@
     record_view,
 )
 from balsamshed.placement.in_flight import forget_endpoint
+from balsamshed.placement.speeds import forget_speed
 from balsamshed.routes.table import RouteTable
 from balsamshed.steering.decisions import (
     Steering,
@@ -43,6 +44,8 @@
 _RESET_KINDS: Final = frozenset(
     (ChangeKind.ADDED, ChangeKind.RESTARTED, ChangeKind.REMOVED),
 )
+#: Peers may report the speed of an endpoint before it is in this view.
+_REPLACED_KINDS: Final = frozenset((ChangeKind.RESTARTED, ChangeKind.REMOVED))
 
 
 def handle_revision(edge: Edge, revision: int) -> list[EdgeEffect]:
@@ -194,6 +197,8 @@
     if change.kind in _RESET_KINDS:
         forget_endpoint(steering.load_tracker, endpoint.cookie)
         steering.requests.answered_at.pop(endpoint.cookie, None)
+    if steering.speeds is not None and change.kind in _REPLACED_KINDS:
+        forget_speed(steering.speeds, endpoint.cookie)
     if endpoint.warm_up_seconds > 0:
         steering.load_tracker.warm_until[endpoint.cookie] = (
             now + endpoint.warm_up_seconds
--- a/balsamshed/front_ends/edge_peers.py
+++ b/balsamshed/front_ends/edge_peers.py
@@ -10,17 +10,29 @@
     decode_report,
     encode_report,
 )
+from balsamshed.codecs.supplements import (
+    MalformedSupplement,
+    decode_supplement,
+    encode_supplement,
+    is_supplement,
+)
 from balsamshed.codecs.views import (
     create_routes_encoder,
     decode_view,
     encode_view,
 )
-from balsamshed.edge.effects import EdgeEffect, FetchView, SendReport
+from balsamshed.edge.effects import (
+    EdgeEffect,
+    FetchView,
+    SendReport,
+    SendSupplement,
+)
 from balsamshed.edge.peer_views import (
     create_view_for_peer,
     handle_peer_view,
     handle_report,
 )
+from balsamshed.edge.speeds import handle_supplement
 from balsamshed.edge.state import Edge
 from balsamshed.edge.views import (
     handle_read_failed,
@@ -64,6 +76,9 @@
     counts = process.counts
 
     def handle_datagram(datagram: bytes, sender: tuple[str, int]) -> None:
+        if is_supplement(datagram):
+            _receive_supplement(process, datagram)
+            return
         report = decode_report(datagram)
         if isinstance(report, MalformedReport):
             counts[f'malformed_report_{report}'] += 1
@@ -74,12 +89,6 @@
     def count(name: str) -> None:
         counts[f'report_{name}'] += 1
 
-    def send_report(effect: SendReport) -> None:
-        datagram = encode_report(effect.report)
-        counts['report_bytes'] += len(datagram) * len(effect.hosts)
-        for host in effect.hosts:
-            port.send(datagram, (host, peer_port))
-
     def fetch_view(effect: FetchView) -> None:
         address = SocketAddress(effect.host, peer_port)
         _fetch_view(process, HttpSession(process.loop, address), effect)
@@ -101,10 +110,37 @@
     port = DatagramSocket(bound, handle_datagram, count)
     port.watch(process.loop)
     start_http_server(process, address, handle_request)
-    process.effect_handlers[SendReport] = send_report
+    _handle_send_effects(process, port)
     process.effect_handlers[FetchView] = fetch_view
 
 
+def _handle_send_effects(process: EdgeProcess, port: DatagramSocket) -> None:
+    peer_port = process.settings.peer_ports[0]
+    counts = process.counts
+
+    def send_report(effect: SendReport) -> None:
+        datagram = encode_report(effect.report)
+        counts['report_bytes'] += len(datagram) * len(effect.hosts)
+        for host in effect.hosts:
+            port.send(datagram, (host, peer_port))
+
+    def send_supplement(effect: SendSupplement) -> None:
+        datagram = encode_supplement(effect.supplement)
+        counts['supplement_bytes'] += len(datagram)
+        port.send(datagram, (effect.host, peer_port))
+
+    process.effect_handlers[SendReport] = send_report
+    process.effect_handlers[SendSupplement] = send_supplement
+
+
+def _receive_supplement(process: EdgeProcess, datagram: bytes) -> None:
+    supplement = decode_supplement(datagram)
+    if isinstance(supplement, MalformedSupplement):
+        process.counts[f'malformed_supplement_{supplement}'] += 1
+        return
+    handle_supplement(process.edge, supplement, read_clock())
+
+
 def create_view_encoder() -> Callable[[Edge, int, int], bytes]:
     """Return a function that encodes what a peer lacks of this view.
 
--- a/balsamshed/peers/table.py
+++ b/balsamshed/peers/table.py
@@ -183,16 +183,7 @@
     tuple of str
         IPv4 addresses of the receivers.
     """
-    elapsed = min(now - table.budget_updated_at, BURST_SECONDS)
-    table.budget_updated_at = now
-    max_budget_bytes = REPORT_BYTES_PER_SECOND * BURST_SECONDS
-    table.budget_bytes = max(
-        table.budget_bytes,
-        min(
-            table.budget_bytes + REPORT_BYTES_PER_SECOND * elapsed,
-            max_budget_bytes,
-        ),
-    )
+    _refill_budget(table, now)
     local, remote = _split_peers_by_locality(table)
     affordable = int(table.budget_bytes // report_bytes)
     local_count = min(
@@ -210,6 +201,15 @@
     return targets
 
 
+def take_budget(table: PeerTable, size_bytes: int, now: float) -> bool:
+    """Take bytes off the budget, and return whether it had them."""
+    _refill_budget(table, now)
+    if table.budget_bytes < size_bytes:
+        return False
+    table.budget_bytes -= size_bytes
+    return True
+
+
 def pick_shared_addresses(
     table: PeerTable,
     randbelow: RandBelow,
@@ -264,6 +264,19 @@
     return [host for is_remote, host in holders if is_remote == only_remote]
 
 
+def _refill_budget(table: PeerTable, now: float) -> None:
+    elapsed = min(now - table.budget_updated_at, BURST_SECONDS)
+    table.budget_updated_at = now
+    max_budget_bytes = REPORT_BYTES_PER_SECOND * BURST_SECONDS
+    table.budget_bytes = max(
+        table.budget_bytes,
+        min(
+            table.budget_bytes + REPORT_BYTES_PER_SECOND * elapsed,
+            max_budget_bytes,
+        ),
+    )
+
+
 def _split_peers_by_locality(table: PeerTable) -> tuple[list[str], list[str]]:
     """Return the peers in the same data centre, and all others."""
     local: list[str] = []
--- a/balsamshed/placement/in_flight.py
+++ b/balsamshed/placement/in_flight.py
@@ -1,7 +1,9 @@
 """Least-loaded placement by requests in flight.
 
 The score of an endpoint is the load that the next request would meet there,
-in requests per slot.
+in requests per slot. If relative durations of the endpoints are known, it is
+the time until the next request is answered, in relation to that of one request
+at an endpoint with one slot.
 """
 
 from collections.abc import Mapping, Sequence
@@ -27,6 +29,9 @@
 #: Entries of crashed endpoints disappear after three missed reports; the
 #: suspicion must last until then.
 MAX_SUSPICION_SECONDS: Final = 4.0
+#: One of this many placements tries an idle endpoint that is known to be slow,
+#: if the first one compared is one, so that its recovery is noticed.
+PLACEMENTS_PER_TRIAL: Final = 64
 #: Bounds the cost of one placement in a large service.
 MAX_COMPARED_ENDPOINTS: Final = 32
 
@@ -69,6 +74,9 @@
         Suspicions by cookie, for endpoints with unanswered packets.
     warm_until : dict of int to float
         Monotonic time at which the warm-up of an endpoint ends, by cookie.
+    relative_durations : mapping of int to float, or None
+        Factor of the durations of endpoints that are slower or faster than
+        others, by cookie; None if placement does not use it.
     """
 
     data_centre: str
@@ -77,6 +85,7 @@
     suspecting_peers: Mapping[int, int]
     suspicions: dict[int, Suspicion] = field(default_factory=dict)
     warm_until: dict[int, float] = field(default_factory=dict)
+    relative_durations: Mapping[int, float] | None = None
 
 
 def choose_least_loaded(
@@ -114,6 +123,12 @@
     best: Endpoint | None = None
     best_score = float('inf')
     start = randbelow(count)
+    if tracker.relative_durations and not randbelow(PLACEMENTS_PER_TRIAL):
+        endpoint = candidates[start]
+        if endpoint.cookie != avoided_cookie and _may_be_tried(
+            tracker, endpoint, now
+        ):
+            return endpoint
     for offset in range(min(count, MAX_COMPARED_ENDPOINTS)):
         endpoint = candidates[(start + offset) % count]
         cookie = endpoint.cookie
@@ -134,7 +149,7 @@
     endpoint: Endpoint,
     now: float,
 ) -> float:
-    """Return the load that a new request would meet, in requests per slot."""
+    """Return the score of an endpoint for a new request; lower is better."""
     cookie = endpoint.cookie
     load = tracker.own_in_flight.get(cookie, 0) + tracker.peer_in_flight.get(
         cookie, 0
@@ -146,7 +161,10 @@
         penalty += WARM_UP_PENALTY_REQUESTS
     if cookie in tracker.suspecting_peers:
         penalty += SUSPECTED_PENALTY_REQUESTS
-    return (load + penalty) / endpoint.slots
+    if tracker.relative_durations is None:
+        return (load + penalty) / endpoint.slots
+    duration = tracker.relative_durations.get(cookie, 1)
+    return ((load + 1) * duration + penalty) / endpoint.slots
 
 
 def get_requests_per_slot(
@@ -164,6 +182,22 @@
     return suspicion is not None and suspicion.until > now
 
 
+def _may_be_tried(
+    tracker: EndpointLoadTracker, endpoint: Endpoint, now: float
+) -> bool:
+    """Tell whether an endpoint is slow, idle and not suspected."""
+    cookie = endpoint.cookie
+    durations = tracker.relative_durations or {}
+    return (
+        durations.get(cookie, 1) > 1
+        and endpoint.data_centre == tracker.data_centre
+        and cookie not in tracker.own_in_flight
+        and cookie not in tracker.peer_in_flight
+        and cookie not in tracker.suspecting_peers
+        and not is_suspected(tracker, cookie, now)
+    )
+
+
 def record_unanswered_packet(
     tracker: EndpointLoadTracker,
     cookie: int,
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -26,6 +26,7 @@
     record_answered_opening,
     record_unanswered_packet,
 )
+from balsamshed.placement.speeds import EndpointSpeeds
 from balsamshed.random_numbers import RandBelow
 from balsamshed.routes.table import Route, RouteTable, choose_newer
 from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
@@ -48,6 +49,10 @@
     record_repetition,
     track_packet,
 )
+from balsamshed.steering.response_times import (
+    note_request_start,
+    record_response_time,
+)
 from balsamshed.steering.unresponsive import (
     find_unanswered_request,
     has_enough_copies,
@@ -98,6 +103,8 @@
         Latest samples that the metrics have not yet read.
     options : EdgeOptions
         Optional parts that are switched on.
+    speeds : EndpointSpeeds or None
+        Speeds of endpoints; None if they are not balanced by speed.
     """
 
     directory: EndpointDirectory
@@ -112,6 +119,7 @@
         default_factory=lambda: deque(maxlen=MAX_LATENCY_SAMPLES),
     )
     options: EdgeOptions = NO_OPTIONS
+    speeds: EndpointSpeeds | None = None
 
 
 def create_steering(
@@ -137,6 +145,7 @@
         Optional parts that are switched on.
     """
     requests = RequestTable()
+    speeds = EndpointSpeeds() if options.balances_by_speed else None
     return Steering(
         EndpointDirectory(flow_lifetime_seconds),
         requests,
@@ -145,9 +154,13 @@
             requests.counts,
             peer_table.in_flight,
             peer_table.suspecting_peers,
+            relative_durations=(
+                None if speeds is None else speeds.relative_durations
+            ),
         ),
         randbelow,
         options=options,
+        speeds=speeds,
     )
 
 
@@ -192,7 +205,7 @@
         endpoint = _find_on_previous_services(steering, packet)
     if endpoint is None:
         return _UNKNOWN_COOKIE
-    _track_request(steering, packet, endpoint.service, now)
+    _track_request(steering, packet, endpoint, now)
     has_stopped = packet.kind is PacketKind.DATA and _review_endpoint(
         steering, packet, endpoint, now
     )
@@ -384,16 +397,28 @@
 def _track_request(
     steering: Steering,
     packet: FlowPacket,
-    service: str,
+    endpoint: Endpoint,
     now: float,
 ) -> None:
     cookie = packet.cookie
+    speeds = steering.speeds
+    request = None
+    if speeds is not None:
+        request = steering.requests.pending.get(packet.flow_key)
     sample = track_packet(steering.requests, packet, cookie, now)
+    if speeds is not None:
+        note_request_start(
+            steering.requests, steering.load_tracker, packet, endpoint, now
+        )
     if sample is None:
         return
     steering.latency_samples.append(sample)
     if sample.response_seconds is not None:
-        load = steering.service_loads.setdefault(service, ServiceLoad())
+        load = steering.service_loads.setdefault(
+            endpoint.service, ServiceLoad()
+        )
         record_duration(load, sample.response_seconds)
+        if speeds is not None and request is not None:
+            record_response_time(speeds, request, sample.response_seconds, now)
     if sample.connect_seconds is not None:
         record_answered_opening(steering.load_tracker, cookie)
--- a/balsamshed/steering/requests.py
+++ b/balsamshed/steering/requests.py
@@ -53,6 +53,11 @@
         Number of times that the caller has sent this packet.
     last_copy_at : float
         Monotonic time of the last copy.
+    listener : int
+        Listener key of the flow, if durations are compared.
+    requests_per_slot : float
+        Requests in flight for each slot of the endpoint when the request
+        began, if durations are compared.
     """
 
     cookie: int
@@ -62,6 +67,8 @@
     sequence: int = 0
     copies: int = 1
     last_copy_at: float = 0
+    listener: int = 0
+    requests_per_slot: float = 0
 
 
 @dataclass(frozen=True, slots=True)
