Compare endpoints with the median of their service, and replay unequal ones

The reference of a route is the mean over the requests, which moves with the share that slow endpoints get. The median of the endpoints does not.

--- a/balsamshed/edge/speeds.py
+++ b/balsamshed/edge/speeds.py
@@ -59,9 +59,10 @@
 def _refresh_speeds(
     edge: Edge, speeds: EndpointSpeeds, now: float
 ) -> list[EdgeEffect]:
-    endpoints = edge.steering.directory.endpoints.values()
-    cookies = {endpoint.cookie for endpoint in endpoints}
-    changes = refresh_durations(speeds, cookies, now)
+    services: dict[str, list[int]] = {}
+    for endpoint in edge.steering.directory.endpoints.values():
+        services.setdefault(endpoint.service, []).append(endpoint.cookie)
+    changes = refresh_durations(speeds, services, now)
     effects: list[EdgeEffect] = [
         LogEvent(
             'endpoint_slow',
--- a/balsamshed/placement/speeds.py
+++ b/balsamshed/placement/speeds.py
@@ -8,8 +8,9 @@
 answer, but a full endpoint rejects at once, and only while requests wait there.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
+from itertools import chain
 from math import exp2, log2
 from statistics import median
 from typing import Final
@@ -27,7 +28,7 @@
 MAX_DEVIATION_OCTAVES: Final = 1.5
 #: Requests in flight for each slot above which a duration says more about the
 #: queue than about the endpoint, and may be that of a rejection.
-MAX_SAMPLED_REQUESTS_PER_SLOT: Final = 2.0
+MAX_SAMPLED_REQUESTS_PER_SLOT: Final = 1.5
 #: Answers that come sooner, relative to the route, ran nothing.
 MIN_PLAUSIBLE_OCTAVES: Final = -2.5
 #: Durations whose median is the first reference of a route.
@@ -48,6 +49,8 @@
 MAX_REPORTED_SAMPLES: Final = 8.0
 #: An endpoint with fewer recent samples of this balancer is not reported.
 MIN_REPORTED_SAMPLES: Final = 0.5
+#: Samples of an endpoint that counts for the median of its service.
+MIN_COMPARED_SAMPLES: Final = 1.0
 #: Endpoints with samples; those of peers are accepted before the first view.
 MAX_ESTIMATES: Final = 2048
 
@@ -261,7 +264,7 @@
         back to them.
     """
     reports = [
-        SpeedReport(cookie, estimate.own.total / estimate.own.samples, samples)
+        SpeedReport(cookie, _get_mean(estimate.own), samples)
         for cookie, estimate in speeds.estimates.items()
         if (samples := _get_samples(estimate.own, now)) >= MIN_REPORTED_SAMPLES
     ]
@@ -273,17 +276,22 @@
 
 
 def refresh_durations(
-    speeds: EndpointSpeeds, known_cookies: Collection[int], now: float
+    speeds: EndpointSpeeds,
+    services: Mapping[str, Collection[int]],
+    now: float,
 ) -> SpeedChanges:
     """Update the factors that placement uses.
 
+    The endpoints of a service are compared with the median of them: most of
+    them are then equal to placement, wherever the requests of a route went.
+
     Parameters
     ----------
     speeds : EndpointSpeeds
         Changed in place.
-    known_cookies : collection of int
-        Cookies of all known endpoints; estimates of others are removed, unless
-        it is empty.
+    services : mapping of str to collection of int
+        Cookies of the known endpoints by service; estimates of others are
+        removed, unless it is empty.
     now : float
         Monotonic seconds.
 
@@ -292,37 +300,55 @@
     SpeedChanges
         Endpoints that are now slow, or no longer.
     """
-    if known_cookies:
+    if services:
+        known_cookies = set(chain.from_iterable(services.values()))
         for cookie in speeds.estimates.keys() - known_cookies:
             forget_speed(speeds, cookie)
     durations = speeds.relative_durations
     former_slow = {cookie for cookie in durations if durations[cookie] > 1}
-    for cookie, estimate in speeds.estimates.items():
-        octaves = _get_octaves(estimate, now)
-        threshold = EQUAL_OCTAVES if cookie in durations else UNEQUAL_OCTAVES
-        if abs(octaves) < threshold:
-            durations.pop(cookie, None)
-            continue
-        step = round(octaves * STEPS_PER_OCTAVE) / STEPS_PER_OCTAVE
-        durations[cookie] = exp2(max(MIN_OCTAVES, min(MAX_OCTAVES, step)))
+    for cookies in services.values():
+        _compare_endpoints(speeds, cookies, now)
     slow = {cookie for cookie in durations if durations[cookie] > 1}
     return SpeedChanges(tuple(slow - former_slow), tuple(former_slow - slow))
 
 
-def estimate_relative_duration(
-    speeds: EndpointSpeeds, cookie: int, now: float
-) -> float:
-    """Return the duration of an endpoint's requests relative to others."""
-    estimate = speeds.estimates.get(cookie)
-    return 1 if estimate is None else exp2(_get_octaves(estimate, now))
-
-
 def forget_speed(speeds: EndpointSpeeds, cookie: int) -> None:
     """Remove what is known of an endpoint that left or was restarted."""
     speeds.estimates.pop(cookie, None)
     speeds.relative_durations.pop(cookie, None)
 
 
+def _compare_endpoints(
+    speeds: EndpointSpeeds, cookies: Collection[int], now: float
+) -> None:
+    """Update the factors of the endpoints of one service."""
+    samples_by_cookie = {
+        cookie: _get_samples(estimate.joined, now)
+        for cookie in cookies
+        if (estimate := speeds.estimates.get(cookie)) is not None
+    }
+    means = {
+        cookie: _get_mean(speeds.estimates[cookie].joined)
+        for cookie, samples in samples_by_cookie.items()
+        if samples >= MIN_COMPARED_SAMPLES
+    }
+    typical = median(means.values()) if means else 0
+    for cookie, samples in samples_by_cookie.items():
+        weight = samples / (samples + PRIOR_SAMPLES)
+        mean = _get_mean(speeds.estimates[cookie].joined)
+        _set_factor(speeds, cookie, (mean - typical) * weight)
+
+
+def _set_factor(speeds: EndpointSpeeds, cookie: int, octaves: float) -> None:
+    durations = speeds.relative_durations
+    threshold = EQUAL_OCTAVES if cookie in durations else UNEQUAL_OCTAVES
+    if abs(octaves) < threshold:
+        durations.pop(cookie, None)
+        return
+    step = round(octaves * STEPS_PER_OCTAVE) / STEPS_PER_OCTAVE
+    durations[cookie] = exp2(max(MIN_OCTAVES, min(MAX_OCTAVES, step)))
+
+
 def _record_first_duration(route: RouteDuration, octaves: float) -> None:
     route.first_octaves.append(octaves)
     if len(route.first_octaves) >= FIRST_DURATIONS:
@@ -340,12 +366,13 @@
 
 def _get_octaves(estimate: SpeedEstimate, now: float) -> float:
     """Return the mean; it approaches zero while there are no samples."""
-    joined = estimate.joined
-    samples = _get_samples(joined, now)
-    if not samples:
-        return 0
-    mean = joined.total / joined.samples
-    return mean * samples / (samples + PRIOR_SAMPLES)
+    samples = _get_samples(estimate.joined, now)
+    weight = samples / (samples + PRIOR_SAMPLES)
+    return _get_mean(estimate.joined) * weight
+
+
+def _get_mean(mean: DecayingMean) -> float:
+    return mean.total / mean.samples if mean.samples else 0
 
 
 def _limit_deviation(
--- a/testbed/load_fleet.py
+++ b/testbed/load_fleet.py
@@ -10,13 +10,20 @@
 from balsamshed.endpoints.directory import EndpointView, apply_view
 from balsamshed.endpoints.endpoint import Endpoint
 from balsamshed.peers.report import EndpointReport, PeerReport
+from balsamshed.peers.supplement import MAX_SPEEDS
 from balsamshed.peers.table import PeerTable, record_report
+from balsamshed.placement.speeds import (
+    join_reports,
+    pick_reports,
+    refresh_durations,
+)
 from balsamshed.routes.table import Route, ServiceShare, create_route_table
 from balsamshed.steering.decisions import (
     Steering,
     create_steering,
     replace_routes,
 )
+from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
 from balsamshed.steering.requests import expire_requests
 from testbed.load_patterns import CallerClass, LoadPattern
 
@@ -34,6 +41,7 @@
 
     slots: int
     queue_limit: int
+    speed: float = 1
     running: int = 0
     queue: deque[Callable[[], None]] = field(default_factory=deque)
 
@@ -92,6 +100,10 @@
         ``failed``.
     refusals : Counter of (str, str)
         Number of postponed and refused openings, by class and reason.
+    tail_share, tail_factor : float
+        Share of the requests that take longer, and how many times.
+    latencies : list of float
+        Time of each answered request from its first try, in seconds.
     """
 
     balancers: list[Steering]
@@ -106,9 +118,17 @@
     flow_numbers: Any = field(default_factory=lambda: count(1))
     outcomes: Counter[tuple[str, str]] = field(default_factory=Counter)
     refusals: Counter[tuple[str, str]] = field(default_factory=Counter)
+    tail_share: float = 0
+    tail_factor: float = 1
+    latencies: list[float] = field(default_factory=list)
 
 
-def create_replay(pattern: LoadPattern, seed: int, has_goals: bool) -> Replay:
+def create_replay(
+    pattern: LoadPattern,
+    seed: int,
+    has_goals: bool,
+    options: EdgeOptions = NO_OPTIONS,
+) -> Replay:
     """Create the state of a replay without events.
 
     Parameters
@@ -119,6 +139,8 @@
         Seed of the random numbers.
     has_goals : bool
         Whether the routes have latency goals.
+    options : EdgeOptions
+        Optional parts of the balancers.
     """
     numbers = Random(seed)  # noqa: S311
     endpoints = [
@@ -148,19 +170,28 @@
     ]
     table = create_route_table(1, routes, [_SERVICE])
     view = EndpointView(1, tuple(endpoints), 1)
-    replay = Replay([], [], {}, numbers)
+    replay = Replay(
+        [],
+        [],
+        {},
+        numbers,
+        tail_share=pattern.tail_share,
+        tail_factor=pattern.tail_factor,
+    )
     for number in range(BALANCERS):
         peer_table = PeerTable(f'10.9.0.{number}', _DATA_CENTRE)
         steering = create_steering(
-            _DATA_CENTRE, 60, peer_table, numbers.randrange
+            _DATA_CENTRE, 60, peer_table, numbers.randrange, options
         )
         apply_view(steering.directory, view, 0)
         replace_routes(steering, table)
         replay.balancers.append(steering)
         replay.peer_tables.append(peer_table)
-    for endpoint in endpoints:
+    for number, endpoint in enumerate(endpoints):
         replay.endpoints[endpoint.cookie] = SimulatedEndpoint(
-            endpoint.slots, endpoint.slots * pattern.queued_per_slot
+            endpoint.slots,
+            endpoint.slots * pattern.queued_per_slot,
+            pattern.speeds[number % len(pattern.speeds)],
         )
     return replay
 
@@ -183,3 +214,16 @@
             if receiver != sender:
                 host = f'10.9.0.{sender}'
                 record_report(peer_table, host, report, replay.now)
+
+
+def exchange_speeds(replay: Replay) -> None:
+    """Let each balancer report the speeds that it observed to all others."""
+    services = {_SERVICE: tuple(replay.endpoints)}
+    for sender in replay.balancers:
+        if sender.speeds is None:
+            continue
+        reports = pick_reports(sender.speeds, MAX_SPEEDS, replay.now)
+        for receiver in replay.balancers:
+            if receiver is not sender and receiver.speeds is not None:
+                join_reports(receiver.speeds, reports, replay.now)
+        refresh_durations(sender.speeds, services, replay.now)
--- a/testbed/load_patterns.py
+++ b/testbed/load_patterns.py
@@ -77,6 +77,11 @@
         Simulated time in which requests are sent.
     lost_endpoints : int
         Number of endpoints that take no new flows.
+    speeds : tuple of float
+        Speeds that the endpoints have in turn; a request takes its work
+        divided by the speed.
+    tail_share, tail_factor : float
+        Share of the requests that take longer, and how many times.
     """
 
     classes: tuple[CallerClass, ...]
@@ -86,6 +91,9 @@
     queued_per_slot: int = 6
     seconds: float = 12
     lost_endpoints: int = 0
+    speeds: tuple[float, ...] = (1,)
+    tail_share: float = 0
+    tail_factor: float = 1
 
 
 FEEDS: Final = CallerClass(
@@ -112,3 +120,12 @@
     FLOOD_WITH_LOST_ENDPOINTS,
     classes=(replace(FEEDS, timeout_seconds=0.8), NOTES),
 )
+#: A quarter of the endpoints is less than half as fast as the others, a few
+#: requests take long anywhere, and seven tenths of the room is in use.
+UNEQUAL_ENDPOINTS: Final = LoadPattern(
+    (CallerClass('lookups', 7003, 1, 640, 0.12, 2, 0.03),),
+    endpoints=16,
+    speeds=(0.5, 1.2, 1.2, 1.2),
+    tail_share=0.03,
+    tail_factor=7,
+)
--- a/testbed/load_replay.py
+++ b/testbed/load_replay.py
@@ -13,6 +13,7 @@
 
 from balsamshed.routes.table import make_listener_key
 from balsamshed.steering.decisions import Steering, steer_packet
+from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
 from balsamshed.steering.packets import (
     DropPacket,
     FlowPacket,
@@ -27,12 +28,14 @@
     SimulatedEndpoint,
     create_replay,
     exchange_reports,
+    exchange_speeds,
 )
 from testbed.load_patterns import CallerClass, LoadPattern
 
 #: One way between any two processes.
 DELAY_SECONDS: Final = 0.001
 REPORT_INTERVAL_SECONDS: Final = 0.1
+SPEEDS_INTERVAL_SECONDS: Final = 1.0
 #: Times of the copies of an opening packet, and when the caller gives up.
 OPENING_COPY_SECONDS: Final = (0, 0.2, 0.6)
 OPENING_TIMEOUT_SECONDS: Final = 1.4
@@ -44,7 +47,10 @@
 
 
 def replay_load(
-    pattern: LoadPattern, seed: int = 1, has_goals: bool = True
+    pattern: LoadPattern,
+    seed: int = 1,
+    has_goals: bool = True,
+    options: EdgeOptions = NO_OPTIONS,
 ) -> Replay:
     """Replay a load pattern.
 
@@ -57,18 +63,23 @@
     has_goals : bool
         Whether the balancers know the latency goals; without them they admit
         every flow.
+    options : EdgeOptions
+        Optional parts of the balancers.
 
     Returns
     -------
     Replay
         State after the last event.
     """
-    replay = create_replay(pattern, seed, has_goals)
+    replay = create_replay(pattern, seed, has_goals, options)
     for caller_class in pattern.classes:
         _schedule_class(replay, pattern, caller_class)
     for tick in range(int(pattern.seconds / REPORT_INTERVAL_SECONDS)):
         at = tick * REPORT_INTERVAL_SECONDS
         _schedule(replay, at, partial(exchange_reports, replay))
+    for round_number in range(int(pattern.seconds / SPEEDS_INTERVAL_SECONDS)):
+        at = round_number * SPEEDS_INTERVAL_SECONDS
+        _schedule(replay, at, partial(exchange_speeds, replay))
     while replay.events:
         at, _number, act = heappop(replay.events)
         replay.now = at
@@ -196,6 +207,9 @@
 def _run(replay: Replay, endpoint: SimulatedEndpoint, caller: Caller) -> None:
     mean = caller.caller_class.work_seconds
     work_seconds = replay.numbers.uniform(0.5 * mean, 1.5 * mean)
+    if replay.tail_share and replay.numbers.random() < replay.tail_share:
+        work_seconds *= replay.tail_factor
+    work_seconds /= endpoint.speed
 
     def finish() -> None:
         endpoint.running -= 1
@@ -209,6 +223,7 @@
 def _receive_answer(replay: Replay, caller: Caller) -> None:
     _acknowledge(replay, caller)
     elapsed = replay.now - caller.asked_at
+    replay.latencies.append(elapsed)
     goal_seconds = caller.caller_class.goal_seconds
     _finish_request(
         replay, caller, 'in_goal' if elapsed <= goal_seconds else 'late'
--- a/testbed/tests/test_load_replay.py
+++ b/testbed/tests/test_load_replay.py
@@ -1,7 +1,11 @@
 """Replays of load patterns with and without admission by latency goal."""
 
+from dataclasses import replace
+from statistics import quantiles
+
 import pytest
 
+from balsamshed.steering.options import EdgeOptions
 from testbed.load_patterns import (
     CALM,
     FLOOD_OF_FEEDS,
@@ -9,6 +13,7 @@
     FLOOD_OF_NOTES,
     FLOOD_WITH_LOST_ENDPOINTS,
     SHORT_PEAK,
+    UNEQUAL_ENDPOINTS,
 )
 from testbed.load_replay import get_share, replay_load
 
@@ -66,3 +71,28 @@
     replay = replay_load(FLOOD_OF_NOTES, seed)
     assert get_share(replay, 'notes') >= get_share(without, 'notes') - 0.02
     assert not any(name == 'notes' for name, _reason in replay.refusals)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('per_second', [400, 640])
+def test_unequal_endpoints_get_unequal_shares(per_second, seed):
+    """Guards against callers who wait for slow endpoints while faster ones are
+    nearly idle: a tenth of those who were late are now answered in time."""
+    (lookups,) = UNEQUAL_ENDPOINTS.classes
+    lookups = replace(lookups, per_second=per_second)
+    pattern = replace(UNEQUAL_ENDPOINTS, classes=(lookups,))
+    without = replay_load(pattern, seed, has_goals=False)
+    replay = replay_load(
+        pattern,
+        seed,
+        has_goals=False,
+        options=EdgeOptions(balances_by_speed=True),
+    )
+    late = 1 - get_share(without, 'lookups')
+    assert 1 - get_share(replay, 'lookups') <= 0.9 * late
+    # The 95th percentile of all requests is that of the slow endpoints.
+    assert get_percentile(replay, 95) <= 0.95 * get_percentile(without, 95)
+
+
+def get_percentile(replay, percent):
+    return quantiles(replay.latencies, n=100)[percent - 1]
