--- a/balsamshed/edge/explanations.py
+++ b/balsamshed/edge/explanations.py
@@ -3,7 +3,11 @@
 from collections.abc import Mapping
 
 from balsamshed.edge.state import Edge
-from balsamshed.placement.in_flight import is_suspected, score_endpoint
+from balsamshed.placement.in_flight import (
+    EndpointLoadTracker,
+    is_suspected,
+    score_endpoint,
+)
 from balsamshed.steering.packets import (
     DropPacket,
     FlowPacket,
@@ -34,6 +38,7 @@
         'peer_requests': tracker.peer_in_flight.get(effect.cookie, 0),
         'score': round(score_endpoint(tracker, endpoint, now), 2),
         'is_suspected': is_suspected(tracker, effect.cookie, now),
+        **_describe_speed(tracker, effect.cookie),
         **_describe_view(edge, now),
     }
 
@@ -65,6 +70,14 @@
     }
 
 
+def _describe_speed(
+    tracker: EndpointLoadTracker, cookie: int
+) -> Mapping[str, object]:
+    if tracker.relative_durations is None:
+        return {}
+    return {'relative_duration': tracker.relative_durations.get(cookie, 1)}
+
+
 def _describe_view(edge: Edge, now: float) -> Mapping[str, object]:
     return {
         'version': edge.steering.routes.version,
--- a/balsamshed/edge/summaries.py
+++ b/balsamshed/edge/summaries.py
@@ -29,6 +29,9 @@
         Whether new flows avoid it because it left opening packets unanswered.
     in_flight : int
         Requests in flight from this balancer and its peers.
+    relative_duration : float
+        Factor of the durations of its requests that placement uses; 1 for an
+        endpoint that is as fast as the others of its service.
     """
 
     endpoint: str
@@ -38,6 +41,7 @@
     state: str
     is_suspected: bool
     in_flight: int
+    relative_duration: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +138,7 @@
         is_suspected=cookie in edge.suspected_cookies,
         in_flight=tracker.own_in_flight.get(cookie, 0)
         + tracker.peer_in_flight.get(cookie, 0),
+        relative_duration=(tracker.relative_durations or {}).get(cookie, 1),
     )
 
 
--- a/balsamshed/front_ends/edge_metrics.py
+++ b/balsamshed/front_ends/edge_metrics.py
@@ -105,6 +105,12 @@
             is_suspected(steering.load_tracker, cookie, now)
             for cookie in steering.load_tracker.suspicions
         ),
+        'endpoints_slow': sum(
+            factor > 1
+            for factor in (
+                steering.load_tracker.relative_durations or {}
+            ).values()
+        ),
         'requests_in_flight': len(steering.requests.pending),
         'log_lines_waiting': len(process.log_lines.lines),
     }
