Let flows leave their data centre by the room of others, off by default

Another data centre cost a fixed two requests, whatever its load, and one without reports seemed idle. With balance_data_centres, flows stay until most slots of their data centre are in use. Each opening is then compared with one other data centre, chosen at random by its room; one that no peer reports from has none, and neither has one whose queues have begun to fill.

--- a/balsamshed/peers/table.py
+++ b/balsamshed/peers/table.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Final, TypeVar
 
 from balsamshed.peers.report import PeerReport
 from balsamshed.random_numbers import RandBelow
@@ -35,6 +35,8 @@
 #: Limit of peer addresses in a report.
 MAX_SHARED_ADDRESSES: Final = 3
 
+Key = TypeVar('Key', int, str)
+
 
 @dataclass(slots=True)
 class Peer:
@@ -68,6 +70,8 @@
         Requests in flight at live peers, by cookie.
     suspecting_peers : dict of int to int
         Number of live peers that suspect an endpoint, by cookie.
+    data_centres : dict of str to int
+        Number of live peers by data centre.
     next_local_index, next_remote_index : int
         Round-robin positions among the peers in the same data centre and
         among all others.
@@ -84,6 +88,7 @@
     peers: dict[str, Peer] = field(default_factory=dict)
     in_flight: dict[int, int] = field(default_factory=dict)
     suspecting_peers: dict[int, int] = field(default_factory=dict)
+    data_centres: dict[str, int] = field(default_factory=dict)
     next_local_index: int = 0
     next_remote_index: int = 0
     budget_bytes: float = INITIAL_BUDGET_BYTES
@@ -304,6 +309,7 @@
 
 
 def _update_counts(table: PeerTable, report: PeerReport, sign: int) -> None:
+    _adjust_count(table.data_centres, report.data_centre, sign)
     for endpoint in report.endpoints:
         cookie = endpoint.cookie
         _adjust_count(table.in_flight, cookie, sign * endpoint.in_flight)
@@ -312,9 +318,9 @@
         )
 
 
-def _adjust_count(counts: dict[int, int], cookie: int, change: int) -> None:
-    count = counts.get(cookie, 0) + change
+def _adjust_count(counts: dict[Key, int], key: Key, change: int) -> None:
+    count = counts.get(key, 0) + change
     if count:
-        counts[cookie] = count
+        counts[key] = count
     else:
-        counts.pop(cookie, None)
+        counts.pop(key, None)
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -1,6 +1,7 @@
 """Steering decisions: where to send each packet of a caller."""
 
 from collections import deque
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -19,6 +20,10 @@
 )
 from balsamshed.limits.verdicts import Admitted, Postponed
 from balsamshed.peers.table import PeerTable
+from balsamshed.placement.data_centres import (
+    ServiceSpread,
+    choose_data_centres,
+)
 from balsamshed.placement.in_flight import (
     EndpointLoadTracker,
     choose_least_loaded,
@@ -105,6 +110,10 @@
         Optional parts that are switched on.
     speeds : EndpointSpeeds or None
         Speeds of endpoints; None if they are not balanced by speed.
+    spreads : dict of str to ServiceSpread
+        Load of each service by data centre, if data centres are balanced.
+    reporting_data_centres : mapping of str to int
+        Number of live peers by data centre.
     """
 
     directory: EndpointDirectory
@@ -120,6 +129,8 @@
     )
     options: EdgeOptions = NO_OPTIONS
     speeds: EndpointSpeeds | None = None
+    spreads: dict[str, ServiceSpread] = field(default_factory=dict)
+    reporting_data_centres: Mapping[str, int] = field(default_factory=dict)
 
 
 def create_steering(
@@ -161,6 +172,7 @@
         randbelow,
         options=options,
         speeds=speeds,
+        reporting_data_centres=peer_table.data_centres,
     )
 
 
@@ -240,6 +252,7 @@
     steering.removed_listeners.difference_update(table.routes)
     for service in steering.service_loads.keys() - table.services:
         del steering.service_loads[service]
+        steering.spreads.pop(service, None)
     return True
 
 
@@ -291,7 +304,7 @@
         return _NO_ENDPOINT
     endpoint = choose_least_loaded(
         steering.load_tracker,
-        list_available_endpoints(steering.directory, service),
+        _list_candidates(steering, service, avoided_cookie, now),
         avoided_cookie,
         steering.randbelow,
         now,
@@ -306,6 +319,28 @@
     return ForwardFlow(endpoint, cookie)
 
 
+def _list_candidates(
+    steering: Steering,
+    service: str,
+    avoided_cookie: int | None,
+    now: float,
+) -> Sequence[Endpoint]:
+    available = list_available_endpoints(steering.directory, service)
+    if not steering.options.balances_data_centres:
+        return available
+    if avoided_cookie is not None:
+        # Another data centre may have the only endpoint that answers.
+        return available
+    return choose_data_centres(
+        steering.spreads.setdefault(service, ServiceSpread()),
+        steering.load_tracker,
+        available,
+        steering.reporting_data_centres,
+        steering.randbelow,
+        now,
+    )
+
+
 def _review_load(
     steering: Steering,
     packet: FlowPacket,
--- a/testbed/load_fleet.py
+++ b/testbed/load_fleet.py
@@ -2,7 +2,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 from random import Random
 from typing import Any, Final
@@ -32,13 +32,13 @@
 ADDRESS: Final = 0xC6120001
 
 _SERVICE: Final = 'web'
-_DATA_CENTRE: Final = 'a'
 
 
 @dataclass(slots=True)
 class SimulatedEndpoint:
     """Slots and queue of an endpoint; entries of the queue start a request."""
 
+    data_centre: str
     slots: int
     queue_limit: int
     speed: float = 1
@@ -104,6 +104,8 @@
         Share of the requests that take longer, and how many times.
     latencies : list of float
         Time of each answered request from its first try, in seconds.
+    placements : Counter of (str, str)
+        Number of openings by class and data centre of the endpoint.
     """
 
     balancers: list[Steering]
@@ -121,6 +123,7 @@
     tail_share: float = 0
     tail_factor: float = 1
     latencies: list[float] = field(default_factory=list)
+    placements: Counter[tuple[str, str]] = field(default_factory=Counter)
 
 
 def create_replay(
@@ -150,7 +153,7 @@
             _SERVICE,
             f'10.0.0.{number + 1}',
             8080,
-            _DATA_CENTRE,
+            _pick_data_centre(pattern, number),
             pattern.slots,
             is_draining=number < pattern.lost_endpoints,
         )
@@ -179,9 +182,10 @@
         tail_factor=pattern.tail_factor,
     )
     for number in range(BALANCERS):
-        peer_table = PeerTable(f'10.9.0.{number}', _DATA_CENTRE)
+        data_centre = _pick_data_centre(pattern, number)
+        peer_table = PeerTable(f'10.9.0.{number}', data_centre)
         steering = create_steering(
-            _DATA_CENTRE, 60, peer_table, numbers.randrange, options
+            data_centre, 60, peer_table, numbers.randrange, options
         )
         apply_view(steering.directory, view, 0)
         replace_routes(steering, table)
@@ -189,6 +193,7 @@
         replay.peer_tables.append(peer_table)
     for number, endpoint in enumerate(endpoints):
         replay.endpoints[endpoint.cookie] = SimulatedEndpoint(
+            endpoint.data_centre,
             endpoint.slots,
             endpoint.slots * pattern.queued_per_slot,
             pattern.speeds[number % len(pattern.speeds)],
@@ -196,12 +201,31 @@
     return replay
 
 
+def set_outage(replay: Replay, data_centre: str, *, is_lost: bool) -> None:
+    """Let all balancers learn that a data centre is lost or has returned."""
+    for steering in replay.balancers:
+        directory = steering.directory
+        endpoints = tuple(
+            replace(endpoint, is_draining=is_lost)
+            if endpoint.data_centre == data_centre
+            else endpoint
+            for endpoint in directory.endpoints.values()
+        )
+        revision = directory.revision + 1
+        view = EndpointView(revision, endpoints, revision)
+        apply_view(directory, view, replay.now)
+
+
+def _pick_data_centre(pattern: LoadPattern, number: int) -> str:
+    return pattern.data_centres[number % len(pattern.data_centres)]
+
+
 def exchange_reports(replay: Replay) -> None:
     """Let each balancer report its requests in flight to all others."""
     for sender, steering in enumerate(replay.balancers):
         expire_requests(steering.requests, replay.now)
         report = PeerReport(
-            _DATA_CENTRE,
+            replay.peer_tables[sender].data_centre,
             1,
             0,
             tuple(
--- a/testbed/load_patterns.py
+++ b/testbed/load_patterns.py
@@ -26,6 +26,8 @@
     has_long_flows : bool
         Whether a caller sends many requests on one flow; otherwise each
         request has a flow of its own.
+    data_centre : str
+        Data centre whose balancers its packets reach.
     """
 
     name: str
@@ -36,6 +38,7 @@
     timeout_seconds: float
     work_seconds: float
     has_long_flows: bool = False
+    data_centre: str = 'a'
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +61,23 @@
     end: float
 
 
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """Time in which the endpoints of a data centre take no new flows.
+
+    Parameters
+    ----------
+    data_centre : str
+        Name of the data centre.
+    start, end : float
+        Simulated seconds.
+    """
+
+    data_centre: str
+    start: float
+    end: float
+
+
 @dataclass(frozen=True, slots=True)
 class LoadPattern:
     """Callers, bursts and endpoints of a replay.
@@ -82,6 +102,10 @@
         divided by the speed.
     tail_share, tail_factor : float
         Share of the requests that take longer, and how many times.
+    data_centres : tuple of str
+        Data centres to which endpoints and balancers belong in turn.
+    outage : Outage or None
+        Loss and return of the endpoints of a data centre.
     """
 
     classes: tuple[CallerClass, ...]
@@ -94,6 +118,8 @@
     speeds: tuple[float, ...] = (1,)
     tail_share: float = 0
     tail_factor: float = 1
+    data_centres: tuple[str, ...] = ('a',)
+    outage: Outage | None = None
 
 
 FEEDS: Final = CallerClass(
@@ -129,3 +155,44 @@
     tail_share=0.03,
     tail_factor=7,
 )
+
+_NORTH: Final = CallerClass('north', 7004, 1, 100, 0.12, 1.5, 0.03)
+_SOUTH: Final = replace(_NORTH, name='south', port=7005, data_centre='b')
+#: Demand in opposite phase: most callers are in one of two data centres, and
+#: then within no time in the other one.
+OPPOSITE_DEMAND: Final = LoadPattern(
+    (_NORTH, _SOUTH),
+    (
+        Burst('north', 6, 1, 4),
+        Burst('south', 6, 4, 7),
+        Burst('north', 6, 7, 10),
+    ),
+    endpoints=16,
+    data_centres=('a', 'b'),
+)
+#: Even demand while the endpoints of one data centre are lost and return.
+LOST_DATA_CENTRE: Final = LoadPattern(
+    (
+        replace(_NORTH, per_second=160),
+        replace(_SOUTH, per_second=160),
+    ),
+    endpoints=16,
+    data_centres=('a', 'b'),
+    outage=Outage('a', 3, 7),
+)
+#: Half of the endpoints of one data centre are slow, and its demand is high.
+HALF_SLOW_DATA_CENTRE: Final = LoadPattern(
+    (
+        replace(_NORTH, per_second=400),
+        replace(_SOUTH, per_second=160),
+    ),
+    endpoints=16,
+    speeds=(0.4, 1, 1, 1),
+    data_centres=('a', 'b'),
+)
+#: More callers in one data centre than the endpoints of both can serve.
+FLOOD_OF_ONE_DATA_CENTRE: Final = replace(
+    OPPOSITE_DEMAND,
+    classes=(_NORTH, replace(_SOUTH, per_second=200)),
+    bursts=(Burst('north', 10, 3, 8),),
+)
--- a/testbed/load_replay.py
+++ b/testbed/load_replay.py
@@ -22,13 +22,13 @@
 )
 from testbed.load_fleet import (
     ADDRESS,
-    BALANCERS,
     Caller,
     Replay,
     SimulatedEndpoint,
     create_replay,
     exchange_reports,
     exchange_speeds,
+    set_outage,
 )
 from testbed.load_patterns import CallerClass, LoadPattern
 
@@ -80,6 +80,12 @@
     for round_number in range(int(pattern.seconds / SPEEDS_INTERVAL_SECONDS)):
         at = round_number * SPEEDS_INTERVAL_SECONDS
         _schedule(replay, at, partial(exchange_speeds, replay))
+    outage = pattern.outage
+    if outage is not None:
+        lose = partial(set_outage, replay, outage.data_centre, is_lost=True)
+        restore = partial(set_outage, replay, outage.data_centre, is_lost=False)
+        _schedule(replay, outage.start, lose)
+        _schedule(replay, outage.end, restore)
     while replay.events:
         at, _number, act = heappop(replay.events)
         replay.now = at
@@ -152,8 +158,11 @@
     replay: Replay, caller: Caller, flow: int, attempt: int
 ) -> None:
     packet = _build_packet(caller, PacketKind.OPENING, attempt)
-    effect = steer_packet(_pick_balancer(replay, flow), packet, replay.now)
+    steering = _pick_balancer(replay, caller, flow)
+    effect = steer_packet(steering, packet, replay.now)
     if isinstance(effect, ForwardFlow):
+        data_centre = effect.endpoint.data_centre
+        replay.placements[caller.caller_class.name, data_centre] += 1
         caller.cookie = effect.cookie
         at = replay.now + 2 * DELAY_SECONDS
         _schedule(replay, at, lambda: _send_data(replay, caller))
@@ -174,7 +183,7 @@
 
 
 def _send_data(replay: Replay, caller: Caller) -> None:
-    steering = _pick_balancer(replay, caller.flow)
+    steering = _pick_balancer(replay, caller, caller.flow)
     packet = _build_packet(caller, PacketKind.DATA)
     effect = steer_packet(steering, packet, replay.now)
     if not isinstance(effect, ForwardFlow):
@@ -256,11 +265,18 @@
 def _acknowledge(replay: Replay, caller: Caller) -> None:
     caller.acknowledged += _RESPONSE_BYTES
     packet = _build_packet(caller, PacketKind.ACKNOWLEDGEMENT)
-    steer_packet(_pick_balancer(replay, caller.flow), packet, replay.now)
-
-
-def _pick_balancer(replay: Replay, flow: int) -> Steering:
-    return replay.balancers[flow % BALANCERS]
+    steering = _pick_balancer(replay, caller, caller.flow)
+    steer_packet(steering, packet, replay.now)
+
+
+def _pick_balancer(replay: Replay, caller: Caller, flow: int) -> Steering:
+    data_centre = caller.caller_class.data_centre
+    local = [
+        steering
+        for steering in replay.balancers
+        if steering.load_tracker.data_centre == data_centre
+    ]
+    return local[flow % len(local)]
 
 
 def _build_packet(
--- a/testbed/tests/test_load_replay.py
+++ b/testbed/tests/test_load_replay.py
@@ -11,7 +11,11 @@
     FLOOD_OF_FEEDS,
     FLOOD_OF_IMPATIENT_CALLERS,
     FLOOD_OF_NOTES,
+    FLOOD_OF_ONE_DATA_CENTRE,
     FLOOD_WITH_LOST_ENDPOINTS,
+    HALF_SLOW_DATA_CENTRE,
+    LOST_DATA_CENTRE,
+    OPPOSITE_DEMAND,
     SHORT_PEAK,
     UNEQUAL_ENDPOINTS,
 )
@@ -96,3 +100,36 @@
 
 def get_percentile(replay, percent):
     return quantiles(replay.latencies, n=100)[percent - 1]
+
+
+BALANCED = EdgeOptions(balances_data_centres=True)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize(
+    'pattern', [OPPOSITE_DEMAND, LOST_DATA_CENTRE, HALF_SLOW_DATA_CENTRE]
+)
+def test_demand_of_one_data_centre_is_shared_by_the_others(pattern, seed):
+    """Guards against callers who wait for slots of their own data centre while
+    others are idle: those who move within no time, those whose data centre is
+    lost, and those with slow endpoints."""
+    without = replay_load(pattern, seed, has_goals=False)
+    replay = replay_load(pattern, seed, has_goals=False, options=BALANCED)
+    for name in ('north', 'south'):
+        assert get_share(replay, name) >= get_share(without, name) - 0.02
+    if pattern is not OPPOSITE_DEMAND:
+        # The data centre in the south can serve its own callers throughout.
+        stayed = replay.placements['south', 'b']
+        assert replay.placements['south', 'a'] <= 0.01 * stayed
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_flood_in_one_data_centre_leaves_the_callers_of_the_other(seed):
+    """Guards against callers pushed out by the flood of another data centre:
+    without the rule, 0.63 of them are answered in time."""
+    replay = replay_load(
+        FLOOD_OF_ONE_DATA_CENTRE, seed, has_goals=False, options=BALANCED
+    )
+    without = replay_load(FLOOD_OF_ONE_DATA_CENTRE, seed, has_goals=False)
+    assert get_share(replay, 'south') >= 0.85
+    assert get_share(replay, 'north') >= get_share(without, 'north')
