--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from balsamshed.edge.data_centres import describe_spreads
 from balsamshed.edge.effects import (
     DiscardPackets,
     EdgeEffect,
@@ -79,6 +80,7 @@
         effects.append(ReadSource(source, edge.reads.may_be_stale))
     effects.extend(_update_suspected_cookies(edge, now))
     effects.extend(share_speeds(edge, now))
+    effects.extend(describe_spreads(edge))
     report = create_report(edge, now)
     targets = pick_report_targets(
         edge.peer_table, calculate_wire_size(report), now
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -81,6 +81,8 @@
         Cookies of the endpoints that were under suspicion at the last tick.
     supplements : SupplementSchedule
         When supplements to the reports are sent.
+    busy_services : frozenset of str
+        Services whose flows could leave this data centre at the last tick.
     speeds_refreshed_at : float
         Time at which the speeds of endpoints were last refreshed.
     """
@@ -109,6 +111,7 @@
     has_been_ready: bool = False
     suspected_cookies: frozenset[int] = frozenset()
     supplements: SupplementSchedule = field(default_factory=SupplementSchedule)
+    busy_services: frozenset[str] = frozenset()
     speeds_refreshed_at: float = 0
 
 
--- a/balsamshed/front_ends/edge_metrics.py
+++ b/balsamshed/front_ends/edge_metrics.py
@@ -111,6 +111,7 @@
                 steering.load_tracker.relative_durations or {}
             ).values()
         ),
+        'services_busy': len(edge.busy_services),
         'requests_in_flight': len(steering.requests.pending),
         'log_lines_waiting': len(process.log_lines.lines),
     }
