--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from balsamshed.edge.data_centres import describe_spreads
 from balsamshed.edge.effects import (
     DiscardPackets,
     EdgeEffect,
@@ -11,6 +12,7 @@
     StopProcess,
 )
 from balsamshed.edge.evacuations import is_evacuation_read_due
+from balsamshed.edge.speeds import share_speeds
 from balsamshed.edge.state import MAX_QUEUED_SECONDS, Edge, detect_pause
 from balsamshed.edge.views import apply_endpoint_changes
 from balsamshed.endpoints.directory import (
@@ -36,6 +38,7 @@
 from balsamshed.placement.in_flight import EndpointLoadTracker, is_suspected
 from balsamshed.steering.path_loss import is_path_lossy
 from balsamshed.steering.requests import PendingRequest, expire_requests
+from balsamshed.steering.response_times import record_missing_answer
 from balsamshed.store.polling import (
     get_reported_age,
     is_read_due,
@@ -69,6 +72,10 @@
     steering = edge.steering
     for flow_key, request in expire_requests(steering.requests, now):
         effects.append(_describe_unanswered(flow_key, request, now))
+        if steering.speeds is not None:
+            record_missing_answer(
+                steering.speeds, steering.requests, request, now
+            )
     changes = expire_missing(steering.directory, now)
     effects.extend(apply_endpoint_changes(steering, changes, now))
     for host in expire_peers(edge.peer_table, now):
@@ -80,6 +87,8 @@
     ) or is_evacuation_read_due(edge, now):
         effects.append(_start_read(edge, now))
     effects.extend(_update_suspected_cookies(edge, now))
+    effects.extend(share_speeds(edge, now))
+    effects.extend(describe_spreads(edge))
     report = create_report(edge, now)
     targets = pick_report_targets(
         edge.peer_table, calculate_wire_size(report), now
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -30,6 +30,7 @@
     hold_evacuations,
 )
 from balsamshed.placement.in_flight import forget_endpoint
+from balsamshed.placement.speeds import forget_speed
 from balsamshed.routes.history import record_table
 from balsamshed.routes.table import RouteTable
 from balsamshed.steering.decisions import (
@@ -53,6 +54,8 @@
 _RESET_KINDS: Final = frozenset(
     (ChangeKind.ADDED, ChangeKind.RESTARTED, ChangeKind.REMOVED),
 )
+#: Peers may report the speed of an endpoint before it is in this view.
+_REPLACED_KINDS: Final = frozenset((ChangeKind.RESTARTED, ChangeKind.REMOVED))
 
 
 def handle_revision(edge: Edge, revision: int) -> list[EdgeEffect]:
@@ -223,6 +226,8 @@
     if change.kind in _RESET_KINDS:
         forget_endpoint(steering.load_tracker, endpoint.cookie)
         steering.requests.answered_at.pop(endpoint.cookie, None)
+    if steering.speeds is not None and change.kind in _REPLACED_KINDS:
+        forget_speed(steering.speeds, endpoint.cookie)
     if endpoint.warm_up_seconds > 0:
         steering.load_tracker.warm_until[endpoint.cookie] = (
             now + endpoint.warm_up_seconds
--- a/balsamshed/steering/decisions.py
+++ b/balsamshed/steering/decisions.py
@@ -1,6 +1,7 @@
 """Steering decisions: where to send each packet of a caller."""
 
 from collections import deque
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -32,6 +33,10 @@
     may_open,
     record_cold_opening,
 )
+from balsamshed.placement.data_centres import (
+    ServiceSpread,
+    choose_data_centres,
+)
 from balsamshed.placement.in_flight import (
     EndpointLoadTracker,
     choose_least_loaded,
@@ -39,6 +44,7 @@
     record_answered_opening,
     record_unanswered_packet,
 )
+from balsamshed.placement.speeds import EndpointSpeeds
 from balsamshed.random_numbers import RandBelow
 from balsamshed.routes.table import Route, RouteTable, choose_newer
 from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
@@ -70,6 +76,10 @@
     record_repetition,
     track_packet,
 )
+from balsamshed.steering.response_times import (
+    note_request_start,
+    record_response_time,
+)
 from balsamshed.steering.unresponsive import (
     MIN_SUSPICIOUS_COPIES,
     find_unanswered_request,
@@ -127,6 +137,12 @@
         Limits of the endpoints that are warming up; None if the part is off.
     overload : OverloadControl or None
         Limits of admission, if that part is on.
+    speeds : EndpointSpeeds or None
+        Speeds of endpoints; None if they are not balanced by speed.
+    spreads : dict of str to ServiceSpread
+        Load of each service by data centre, if data centres are balanced.
+    reporting_data_centres : mapping of str to int
+        Number of live peers by data centre.
     """
 
     directory: EndpointDirectory
@@ -143,6 +159,9 @@
     options: EdgeOptions = NO_OPTIONS
     cold_starts: ColdStarts | None = None
     overload: OverloadControl | None = None
+    speeds: EndpointSpeeds | None = None
+    spreads: dict[str, ServiceSpread] = field(default_factory=dict)
+    reporting_data_centres: Mapping[str, int] = field(default_factory=dict)
 
 
 def create_steering(
@@ -169,11 +188,15 @@
     """
     directory = EndpointDirectory(flow_lifetime_seconds)
     requests = RequestTable()
+    speeds = EndpointSpeeds() if options.balances_by_speed else None
     load_tracker = EndpointLoadTracker(
         data_centre,
         requests.counts,
         peer_table.in_flight,
         peer_table.suspecting_peers,
+        relative_durations=(
+            None if speeds is None else speeds.relative_durations
+        ),
     )
     overload = None
     if options.limits_admission:
@@ -192,6 +215,8 @@
             else None
         ),
         overload=overload,
+        speeds=speeds,
+        reporting_data_centres=peer_table.data_centres,
     )
 
 
@@ -241,7 +266,7 @@
         )
     if endpoint is None:
         return _UNKNOWN_COOKIE
-    _track_request(steering, packet, route, endpoint.service, now)
+    _track_request(steering, packet, route, endpoint, now)
     has_stopped = packet.kind is PacketKind.DATA and _review_endpoint(
         steering, packet, endpoint, now
     )
@@ -275,6 +300,8 @@
     steering.removed_listeners.difference_update(table.routes)
     for service in steering.service_loads.keys() - table.services:
         del steering.service_loads[service]
+    for service in steering.spreads.keys() - table.services:
+        del steering.spreads[service]
     if steering.overload is not None:
         forget_services(steering.overload, table.services)
     return True
@@ -379,9 +406,20 @@
 
 def _sample_candidates(
     steering: Steering, service: str, avoided_cookie: int | None, now: float
-) -> tuple[Endpoint, ...]:
+) -> Sequence[Endpoint]:
     """Return the endpoints of which the least loaded one is chosen."""
-    candidates = list_candidates(steering, service, now)
+    candidates: Sequence[Endpoint] = list_candidates(steering, service, now)
+    # For a repeated opening, another data centre may have the only endpoint
+    # that answers.
+    if steering.options.balances_data_centres and avoided_cookie is None:
+        candidates = choose_data_centres(
+            steering.spreads.setdefault(service, ServiceSpread()),
+            steering.load_tracker,
+            candidates,
+            steering.reporting_data_centres,
+            steering.randbelow,
+            now,
+        )
     overload = steering.overload
     if overload is None:
         return candidates
@@ -500,25 +538,44 @@
     steering: Steering,
     packet: FlowPacket,
     route: Route,
-    service: str,
+    endpoint: Endpoint,
     now: float,
 ) -> None:
     cookie = packet.cookie
+    speeds = steering.speeds
+    request = None
+    if speeds is not None:
+        request = steering.requests.pending.get(packet.flow_key)
     sample = track_packet(steering.requests, packet, cookie, now)
+    if speeds is not None:
+        note_request_start(
+            steering.requests, steering.load_tracker, packet, endpoint, now
+        )
     if sample is None:
         return
     steering.latency_samples.append(sample)
     if sample.response_seconds is not None:
-        load = steering.service_loads.setdefault(service, ServiceLoad())
-        record_duration(load, sample.response_seconds)
-        if steering.overload is not None:
-            learn_from_answer(
-                steering.overload,
-                service,
-                sample.response_seconds,
-                sample.answer_bytes,
-                route,
-                now,
-            )
+        service = endpoint.service
+        _learn_from_answer(
+            steering, service, route, sample, sample.response_seconds, now
+        )
+        if speeds is not None and request is not None:
+            record_response_time(speeds, request, sample.response_seconds, now)
     if sample.connect_seconds is not None:
         record_answered_opening(steering.load_tracker, cookie)
+
+
+def _learn_from_answer(
+    steering: Steering,
+    service: str,
+    route: Route,
+    sample: LatencySample,
+    seconds: float,
+    now: float,
+) -> None:
+    load = steering.service_loads.setdefault(service, ServiceLoad())
+    record_duration(load, seconds)
+    if steering.overload is not None:
+        learn_from_answer(
+            steering.overload, service, seconds, sample.answer_bytes, route, now
+        )
--- a/balsamshed/steering/overload.py
+++ b/balsamshed/steering/overload.py
@@ -1,6 +1,7 @@
 """Limits of admission on the packet path of one balancer."""
 
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -188,11 +189,11 @@
 def sample_candidates(
     control: OverloadControl,
     service: str,
-    available: tuple[Endpoint, ...],
+    available: Sequence[Endpoint],
     avoided_cookie: int | None,
     randbelow: RandBelow,
     now: float,
-) -> tuple[Endpoint, ...]:
+) -> Sequence[Endpoint]:
     """Return the endpoints of which the least loaded one is chosen.
 
     While a service is overloaded, these are a few random ones: reports are
@@ -204,7 +205,7 @@
         Limits and suspicions.
     service : str
         Service of the new flow.
-    available : tuple of Endpoint
+    available : sequence of Endpoint
         Endpoints that may take the flow.
     avoided_cookie : int or None
         Cookie of an endpoint that left the opening unanswered.
--- a/balsamshed/steering/requests.py
+++ b/balsamshed/steering/requests.py
@@ -66,6 +66,9 @@
         Monotonic time of the first of these copies.
     listener : int
         Key of the listener that the flow was opened to.
+    requests_per_slot : float
+        Requests in flight for each slot of the endpoint when the request
+        began, if durations are compared; zero until they are counted.
     """
 
     cookie: int
@@ -78,6 +81,7 @@
     proven_copies: int = 1
     proven_since: float = 0
     listener: int = 0
+    requests_per_slot: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/testbed/load_fleet.py
+++ b/testbed/load_fleet.py
@@ -2,7 +2,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 from random import Random
 from typing import Any, Final
@@ -10,8 +10,14 @@
 from balsamshed.endpoints.directory import EndpointView, apply_view
 from balsamshed.endpoints.endpoint import Endpoint
 from balsamshed.peers.report import EndpointReport, PeerReport
+from balsamshed.peers.supplement import MAX_SPEEDS
 from balsamshed.peers.table import PeerTable, record_report
 from balsamshed.placement.in_flight import is_suspected
+from balsamshed.placement.speeds import (
+    join_reports,
+    pick_reports,
+    refresh_durations,
+)
 from balsamshed.routes.table import Route, ServiceShare, create_route_table
 from balsamshed.steering.decisions import (
     Steering,
@@ -26,7 +32,6 @@
 ADDRESS: Final = 0xC6120001
 
 _SERVICE: Final = 'web'
-_DATA_CENTRE: Final = 'a'
 
 
 @dataclass(slots=True)
@@ -47,8 +52,10 @@
         Start the requests that wait.
     """
 
+    data_centre: str
     slots: int
     queue_limit: int
+    speed: float = 1
     running: int = 0
     is_silent: bool = False
     lives: int = 0
@@ -118,6 +125,10 @@
         which they were first tried.
     in_goal : Counter of int
         Number of requests answered in time, by the second of the answer.
+    latencies : list of float
+        Time of each answered request from its first try, in seconds.
+    placements : Counter of (str, str)
+        Number of openings by class and data centre of the endpoint.
     """
 
     pattern: LoadPattern
@@ -137,6 +148,8 @@
     asked: Counter[int] = field(default_factory=Counter)
     in_goal: Counter[int] = field(default_factory=Counter)
     asked_in_goal: Counter[int] = field(default_factory=Counter)
+    latencies: list[float] = field(default_factory=list)
+    placements: Counter[tuple[str, str]] = field(default_factory=Counter)
 
 
 def create_replay(
@@ -166,7 +179,7 @@
             _SERVICE,
             f'10.0.0.{number + 1}',
             8080,
-            _DATA_CENTRE,
+            _pick_data_centre(pattern, number),
             pattern.slots,
             is_draining=number < pattern.lost_endpoints,
         )
@@ -188,22 +201,30 @@
     view = EndpointView(1, tuple(endpoints), 1)
     replay = Replay(pattern, [], [], {}, numbers)
     for number in range(pattern.balancers):
-        peer_table = PeerTable(f'10.9.0.{number}', _DATA_CENTRE)
+        data_centre = _pick_data_centre(pattern, number)
+        peer_table = PeerTable(f'10.9.0.{number}', data_centre)
         steering = create_steering(
-            _DATA_CENTRE, 60, peer_table, numbers.randrange, options
+            data_centre, 60, peer_table, numbers.randrange, options
         )
         apply_view(steering.directory, view, 0)
         replace_routes(steering, table)
         replay.balancers.append(steering)
         replay.peer_tables.append(peer_table)
     replay.listed = view.endpoints
-    for endpoint in endpoints:
+    for number, endpoint in enumerate(endpoints):
         replay.endpoints[endpoint.cookie] = SimulatedEndpoint(
-            endpoint.slots, endpoint.slots * pattern.queued_per_slot
+            endpoint.data_centre,
+            endpoint.slots,
+            endpoint.slots * pattern.queued_per_slot,
+            pattern.speeds[number % len(pattern.speeds)],
         )
     return replay
 
 
+def _pick_data_centre(pattern: LoadPattern, number: int) -> str:
+    return pattern.data_centres[number % len(pattern.data_centres)]
+
+
 def exchange_reports(replay: Replay, tick: int, interval: float) -> None:
     """Let each balancer report its requests in flight to the next peers."""
     others = len(replay.balancers) - 1
@@ -219,7 +240,7 @@
         }
         counts = steering.requests.counts
         report = PeerReport(
-            _DATA_CENTRE,
+            replay.peer_tables[sender].data_centre,
             1,
             0,
             tuple(
@@ -237,6 +258,19 @@
             record_report(peer_table, host, report, replay.now)
 
 
+def exchange_speeds(replay: Replay) -> None:
+    """Let each balancer report the speeds that it observed to all others."""
+    services = {_SERVICE: tuple(replay.endpoints)}
+    for sender in replay.balancers:
+        if sender.speeds is None:
+            continue
+        reports = pick_reports(sender.speeds, MAX_SPEEDS, replay.now)
+        for receiver in replay.balancers:
+            if receiver is not sender and receiver.speeds is not None:
+                join_reports(receiver.speeds, reports, replay.now)
+        refresh_durations(sender.speeds, services, replay.now)
+
+
 def list_endpoints(replay: Replay) -> None:
     """Let all balancers know which endpoints are silent at present."""
     for steering in replay.balancers:
@@ -248,3 +282,16 @@
         )
         view = EndpointView(directory.revision + 1, endpoints)
         apply_view(directory, view, replay.now)
+
+
+def set_draining(
+    replay: Replay, data_centre: str, *, is_draining: bool
+) -> None:
+    """Let the endpoints of a data centre take no new flows, or take them."""
+    replay.listed = tuple(
+        replace(endpoint, is_draining=is_draining)
+        if endpoint.data_centre == data_centre
+        else endpoint
+        for endpoint in replay.listed
+    )
+    list_endpoints(replay)
--- a/testbed/load_replay.py
+++ b/testbed/load_replay.py
@@ -27,13 +27,21 @@
     SimulatedEndpoint,
     create_replay,
     exchange_reports,
+    exchange_speeds,
     list_endpoints,
+    set_draining,
+)
+from testbed.load_patterns import (
+    CallerClass,
+    DataCentreDrain,
+    LoadPattern,
+    Outage,
 )
-from testbed.load_patterns import CallerClass, LoadPattern, Outage
 
 #: One way between any two processes.
 DELAY_SECONDS: Final = 0.001
 REPORT_INTERVAL_SECONDS: Final = 0.1
+SPEEDS_INTERVAL_SECONDS: Final = 1.0
 #: Times of the copies of an opening packet, and when the caller gives up.
 OPENING_COPY_SECONDS: Final = (0, 0.2, 0.6)
 OPENING_TIMEOUT_SECONDS: Final = 1.4
@@ -83,7 +91,11 @@
             at,
             partial(exchange_reports, replay, tick, REPORT_INTERVAL_SECONDS),
         )
+    for round_number in range(int(pattern.seconds / SPEEDS_INTERVAL_SECONDS)):
+        at = round_number * SPEEDS_INTERVAL_SECONDS
+        _schedule(replay, at, partial(exchange_speeds, replay))
     _schedule_outage(replay, pattern.outage)
+    _schedule_drain(replay, pattern.drain)
     while replay.events:
         at, _number, act = heappop(replay.events)
         replay.now = at
@@ -124,6 +136,17 @@
         _schedule(replay, at, partial(list_endpoints, replay))
 
 
+def _schedule_drain(replay: Replay, drain: DataCentreDrain | None) -> None:
+    """Let the endpoints of a data centre take no new flows for some time."""
+    if drain is None:
+        return
+    for at, is_draining in ((drain.start, True), (drain.end, False)):
+        act = partial(
+            set_draining, replay, drain.data_centre, is_draining=is_draining
+        )
+        _schedule(replay, at, act)
+
+
 def _schedule_class(
     replay: Replay, pattern: LoadPattern, caller_class: CallerClass
 ) -> None:
@@ -176,8 +199,11 @@
     replay: Replay, caller: Caller, flow: int, attempt: int
 ) -> None:
     packet = _build_packet(caller, PacketKind.OPENING, attempt)
-    effect = steer_packet(_pick_balancer(replay, flow), packet, replay.now)
+    steering = _pick_balancer(replay, caller, flow)
+    effect = steer_packet(steering, packet, replay.now)
     if isinstance(effect, ForwardFlow):
+        data_centre = effect.endpoint.data_centre
+        replay.placements[caller.caller_class.name, data_centre] += 1
         if _answers_opening(replay, effect.cookie):
             caller.cookie = effect.cookie
             at = replay.now + 2 * DELAY_SECONDS
@@ -209,7 +235,7 @@
 
 
 def _send_data(replay: Replay, caller: Caller) -> None:
-    steering = _pick_balancer(replay, caller.flow)
+    steering = _pick_balancer(replay, caller, caller.flow)
     packet = _build_packet(caller, PacketKind.DATA)
     effect = steer_packet(steering, packet, replay.now)
     if not isinstance(effect, ForwardFlow):
@@ -245,6 +271,10 @@
 def _run(replay: Replay, endpoint: SimulatedEndpoint, caller: Caller) -> None:
     mean = caller.caller_class.work_seconds
     work_seconds = replay.numbers.uniform(0.5 * mean, 1.5 * mean)
+    pattern = replay.pattern
+    if pattern.tail_share and replay.numbers.random() < pattern.tail_share:
+        work_seconds *= pattern.tail_factor
+    work_seconds /= endpoint.speed
     lives = endpoint.lives
 
     def finish() -> None:
@@ -273,6 +303,7 @@
 def _receive_answer(replay: Replay, caller: Caller) -> None:
     _acknowledge(replay, caller, _RESPONSE_BYTES)
     elapsed = replay.now - caller.asked_at
+    replay.latencies.append(elapsed)
     goal_seconds = caller.caller_class.goal_seconds
     _finish_request(
         replay, caller, 'in_goal' if elapsed <= goal_seconds else 'late'
@@ -308,11 +339,18 @@
 def _acknowledge(replay: Replay, caller: Caller, amount: int) -> None:
     caller.acknowledged += amount
     packet = _build_packet(caller, PacketKind.ACKNOWLEDGEMENT)
-    steer_packet(_pick_balancer(replay, caller.flow), packet, replay.now)
-
-
-def _pick_balancer(replay: Replay, flow: int) -> Steering:
-    return replay.balancers[flow % len(replay.balancers)]
+    steering = _pick_balancer(replay, caller, caller.flow)
+    steer_packet(steering, packet, replay.now)
+
+
+def _pick_balancer(replay: Replay, caller: Caller, flow: int) -> Steering:
+    data_centre = caller.caller_class.data_centre
+    local = [
+        steering
+        for steering in replay.balancers
+        if steering.load_tracker.data_centre == data_centre
+    ]
+    return local[flow % len(local)]
 
 
 def _build_packet(
--- a/testbed/tests/test_load_replay.py
+++ b/testbed/tests/test_load_replay.py
@@ -1,5 +1,8 @@
 """Replays of load patterns with and without admission by latency goal."""
 
+from dataclasses import replace
+from statistics import quantiles
+
 import pytest
 
 from balsamshed.steering.options import EdgeOptions
@@ -9,11 +12,16 @@
     FLOOD_OF_FEEDS,
     FLOOD_OF_IMPATIENT_CALLERS,
     FLOOD_OF_NOTES,
+    FLOOD_OF_ONE_DATA_CENTRE,
     FLOOD_OF_VIEWS,
     FLOOD_WITH_LOST_ENDPOINTS,
     FLOOD_WITH_SILENT_ENDPOINTS,
+    HALF_SLOW_DATA_CENTRE,
+    LOST_DATA_CENTRE,
     MANY_BALANCERS,
+    OPPOSITE_DEMAND,
     SHORT_PEAK,
+    UNEQUAL_ENDPOINTS,
 )
 from testbed.load_replay import get_share, replay_load
 
@@ -154,3 +162,61 @@
 def test_limit_refuses_nothing_at_ordinary_load(pattern):
     """Guards against callers refused while slots are free."""
     assert not replay_load(pattern, options=LIMITED).refusals
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('per_second', [400, 640])
+def test_unequal_endpoints_get_unequal_shares(per_second, seed):
+    """Guards against callers who wait for slow endpoints while faster ones are
+    nearly idle: a tenth of those who were late are now answered in time."""
+    (lookups,) = UNEQUAL_ENDPOINTS.classes
+    lookups = replace(lookups, per_second=per_second)
+    pattern = replace(UNEQUAL_ENDPOINTS, classes=(lookups,))
+    without = replay_load(pattern, seed, has_goals=False)
+    replay = replay_load(
+        pattern,
+        seed,
+        has_goals=False,
+        options=EdgeOptions(balances_by_speed=True),
+    )
+    late = 1 - get_share(without, 'lookups')
+    assert 1 - get_share(replay, 'lookups') <= 0.9 * late
+    # The 95th percentile of all requests is that of the slow endpoints.
+    assert get_percentile(replay, 95) <= 0.95 * get_percentile(without, 95)
+
+
+def get_percentile(replay, percent):
+    return quantiles(replay.latencies, n=100)[percent - 1]
+
+
+BALANCED = EdgeOptions(balances_data_centres=True)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize(
+    'pattern', [OPPOSITE_DEMAND, LOST_DATA_CENTRE, HALF_SLOW_DATA_CENTRE]
+)
+def test_demand_of_one_data_centre_is_shared_by_the_others(pattern, seed):
+    """Guards against callers who wait for slots of their own data centre while
+    others are idle: those who move within no time, those whose data centre is
+    lost, and those with slow endpoints."""
+    without = replay_load(pattern, seed, has_goals=False)
+    replay = replay_load(pattern, seed, has_goals=False, options=BALANCED)
+    for name in ('north', 'south'):
+        assert get_share(replay, name) >= get_share(without, name) - 0.02
+    if pattern is not OPPOSITE_DEMAND:
+        # The data centre in the south can serve its own callers throughout.
+        stayed = replay.placements['south', 'b']
+        assert replay.placements['south', 'a'] <= 0.01 * stayed
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_flood_in_one_data_centre_leaves_the_callers_of_the_other(seed):
+    """Guards against callers pushed out by the flood of another data centre:
+    without the rule, 0.63 of them are answered in time."""
+    replay = replay_load(
+        FLOOD_OF_ONE_DATA_CENTRE, seed, has_goals=False, options=BALANCED
+    )
+    without = replay_load(FLOOD_OF_ONE_DATA_CENTRE, seed, has_goals=False)
+    assert get_share(replay, 'south') >= 0.85
+    assert get_share(replay, 'north') >= get_share(without, 'north')
