--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from balsamshed.endpoints.history import ViewHistory
+from balsamshed.peers.supplement import SupplementSchedule
 from balsamshed.peers.table import PeerTable
 from balsamshed.random_numbers import RandBelow
 from balsamshed.routes.history import RouteHistory
@@ -85,6 +86,12 @@
         Start of the last read of the store.
     suspected_cookies : frozenset of int
         Cookies of the endpoints that were under suspicion at the last tick.
+    supplements : SupplementSchedule
+        When supplements to the reports are sent.
+    busy_services : frozenset of str
+        Services whose flows could leave this data centre at the last tick.
+    speeds_refreshed_at : float
+        Time at which the speeds of endpoints were last refreshed.
     """
 
     data_centre: str
@@ -113,6 +120,9 @@
     has_been_ready: bool = False
     evacuations_read_at: float = 0
     suspected_cookies: frozenset[int] = frozenset()
+    supplements: SupplementSchedule = field(default_factory=SupplementSchedule)
+    busy_services: frozenset[str] = frozenset()
+    speeds_refreshed_at: float = 0
 
 
 def create_edge(
--- a/balsamshed/front_ends/edge_metrics.py
+++ b/balsamshed/front_ends/edge_metrics.py
@@ -116,6 +116,13 @@
         'services_limited': (
             0 if overload is None else len(list_limited_services(overload))
         ),
+        'endpoints_slow': sum(
+            factor > 1
+            for factor in (
+                steering.load_tracker.relative_durations or {}
+            ).values()
+        ),
+        'services_busy': len(edge.busy_services),
         'requests_in_flight': len(steering.requests.pending),
         'log_lines_waiting': len(process.log_lines.lines),
     }
