Split the packet path into its state, openings and packets of open flows

Change: steering/state.py holds the state and what replaces it, openings.py decides about new flows, decisions.py about packets. Nothing else changes, but an explanation also copies the speeds and spreads, which a decision may change.

--- a/balsamshed/edge/cold_starts.py
+++ b/balsamshed/edge/cold_starts.py
@@ -6,7 +6,7 @@
 from balsamshed.endpoints.endpoint import Endpoint
 from balsamshed.placement.cold_starts import ColdStarts, start_warm_up
 from balsamshed.routes.table import NO_POLICY, ServicePolicy
-from balsamshed.steering.decisions import Steering
+from balsamshed.steering.state import Steering
 
 
 def limit_cold_starts(
--- a/balsamshed/edge/placements.py
+++ b/balsamshed/edge/placements.py
@@ -14,7 +14,7 @@
 from balsamshed.placement.cold_starts import may_open
 from balsamshed.placement.in_flight import is_suspected, score_endpoint
 from balsamshed.routes.table import Route
-from balsamshed.steering.decisions import Steering, steer_packet
+from balsamshed.steering.decisions import steer_packet
 from balsamshed.steering.hedged_openings import get_hedge_delay
 from balsamshed.steering.packets import (
     DropPacket,
@@ -24,6 +24,7 @@
     ResetFlow,
     SteeringEffect,
 )
+from balsamshed.steering.state import Steering
 from balsamshed.store.polling import get_view_age
 from balsamshed.store.revisions import format_revision
 
@@ -228,6 +229,8 @@
         service_loads=deepcopy(steering.service_loads),
         evacuations=deepcopy(steering.evacuations),
         cold_starts=deepcopy(steering.cold_starts),
+        spreads=deepcopy(steering.spreads),
+        speeds=deepcopy(steering.speeds),
         hedging=deepcopy(steering.hedging),
     )
 
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -8,8 +8,8 @@
 from balsamshed.peers.table import PeerTable
 from balsamshed.random_numbers import RandBelow
 from balsamshed.routes.history import RouteHistory
-from balsamshed.steering.decisions import Steering, create_steering, is_ready
 from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
+from balsamshed.steering.state import Steering, create_steering, is_ready
 from balsamshed.store.polling import ReadState
 
 #: Minimum gap between ticks that counts as a pause of the process.
--- a/balsamshed/edge/tests/test_placements.py
+++ b/balsamshed/edge/tests/test_placements.py
@@ -28,6 +28,8 @@
 OPTIONS = EdgeOptions(
     follows_evacuations=True,
     cold_start_limit=ColdStartLimit(1.5, 5),
+    balances_by_speed=True,
+    balances_data_centres=True,
     limits_admission=True,
     hedge_limit=HedgeLimit(0.1, 2),
 )
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -33,7 +33,7 @@
 from balsamshed.placement.speeds import forget_speed
 from balsamshed.routes.history import record_table
 from balsamshed.routes.table import RouteTable
-from balsamshed.steering.decisions import (
+from balsamshed.steering.state import (
     Steering,
     has_view,
     is_ready,
--- a/balsamshed/steering/hedged_openings.py
+++ b/balsamshed/steering/hedged_openings.py
@@ -24,14 +24,11 @@
     is_suspected,
     record_unanswered_packet,
 )
-from balsamshed.steering.decisions import (
-    Steering,
-    find_on_route,
-    list_candidates,
-)
+from balsamshed.steering.openings import find_on_route, list_candidates
 from balsamshed.steering.packets import FlowPacket, ForwardFlow
 from balsamshed.steering.path_loss import is_path_lossy
 from balsamshed.steering.requests import PendingRequest, RequestStage
+from balsamshed.steering.state import Steering
 
 #: An endpoint that has not answered for this long may have stopped to listen.
 #: Its reset would end an opening that the first endpoint is about to answer.
--- a/balsamshed/steering/tests/test_decisions.py
+++ b/balsamshed/steering/tests/test_decisions.py
@@ -27,12 +27,7 @@
     create_route_table,
     make_listener_key,
 )
-from balsamshed.steering.decisions import (
-    create_steering,
-    is_ready,
-    replace_routes,
-    steer_packet,
-)
+from balsamshed.steering.decisions import steer_packet
 from balsamshed.steering.options import ColdStartLimit, EdgeOptions
 from balsamshed.steering.packets import (
     DropPacket,
@@ -41,6 +36,7 @@
     ResetFlow,
 )
 from balsamshed.steering.requests import record_opening
+from balsamshed.steering.state import create_steering, is_ready, replace_routes
 
 OTHER_LISTENER = make_listener_key(ADDRESS, 80)
 FIRST = build_endpoint(1)
--- a/balsamshed/steering/tests/test_hedged_openings.py
+++ b/balsamshed/steering/tests/test_hedged_openings.py
@@ -16,11 +16,7 @@
 from balsamshed.peers.table import PeerTable
 from balsamshed.placement.in_flight import is_suspected
 from balsamshed.routes.table import RouteTable
-from balsamshed.steering.decisions import (
-    create_steering,
-    replace_routes,
-    steer_packet,
-)
+from balsamshed.steering.decisions import steer_packet
 from balsamshed.steering.hedged_openings import (
     WithheldHedge,
     get_hedge_delay,
@@ -30,6 +26,7 @@
 from balsamshed.steering.options import EdgeOptions, HedgeLimit
 from balsamshed.steering.packets import ForwardFlow, PacketKind
 from balsamshed.steering.path_loss import record_loss
+from balsamshed.steering.state import create_steering, replace_routes
 
 FIRST, SECOND = build_endpoint(1), build_endpoint(2)
 OPENING = build_packet()
--- a/balsamshed/steering/tests/test_overload.py
+++ b/balsamshed/steering/tests/test_overload.py
@@ -13,11 +13,7 @@
 from balsamshed.endpoints.directory import apply_view
 from balsamshed.peers.table import PeerTable
 from balsamshed.placement.in_flight import record_unanswered_packet
-from balsamshed.steering.decisions import (
-    create_steering,
-    replace_routes,
-    steer_packet,
-)
+from balsamshed.steering.decisions import steer_packet
 from balsamshed.steering.options import EdgeOptions
 from balsamshed.steering.overload import (
     count_held_requests,
@@ -28,6 +24,7 @@
 )
 from balsamshed.steering.packets import ForwardFlow, LimitedLoad, ResetFlow
 from balsamshed.steering.requests import end_request, record_opening
+from balsamshed.steering.state import create_steering, replace_routes
 
 ENDPOINTS = tuple(build_endpoint(number) for number in range(1, 6))
 NOW = 100.0
--- a/balsamshed/steering/tests/test_unresponsive.py
+++ b/balsamshed/steering/tests/test_unresponsive.py
@@ -17,13 +17,10 @@
 from balsamshed.peers.table import PeerTable, record_report
 from balsamshed.placement.in_flight import is_suspected
 from balsamshed.routes.table import Route, ServiceShare, create_route_table
-from balsamshed.steering.decisions import (
-    create_steering,
-    replace_routes,
-    steer_packet,
-)
+from balsamshed.steering.decisions import steer_packet
 from balsamshed.steering.packets import ForwardFlow, PacketKind, ResetFlow
 from balsamshed.steering.requests import record_opening, track_packet
+from balsamshed.steering.state import create_steering, replace_routes
 
 RESET = ResetFlow('endpoint_unresponsive')
 FLOW = 1
--- a/testbed/load_fleet.py
+++ b/testbed/load_fleet.py
@@ -19,13 +19,9 @@
     refresh_durations,
 )
 from balsamshed.routes.table import Route, ServiceShare, create_route_table
-from balsamshed.steering.decisions import (
-    Steering,
-    create_steering,
-    replace_routes,
-)
 from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
 from balsamshed.steering.requests import expire_requests
+from balsamshed.steering.state import Steering, create_steering, replace_routes
 from testbed.load_patterns import CallerClass, LoadPattern
 
 #: IPv4 address of all routes.
--- a/testbed/load_replay.py
+++ b/testbed/load_replay.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from balsamshed.routes.table import make_listener_key
-from balsamshed.steering.decisions import Steering, steer_packet
+from balsamshed.steering.decisions import steer_packet
 from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
 from balsamshed.steering.packets import (
     FlowPacket,
@@ -20,6 +20,7 @@
     PacketKind,
     ResetFlow,
 )
+from balsamshed.steering.state import Steering
 from testbed.load_fleet import (
     ADDRESS,
     Caller,
--- a/testbed/tests/test_edge_data_centres.py
+++ b/testbed/tests/test_edge_data_centres.py
@@ -17,8 +17,8 @@
 from balsamshed.evacuations.state import apply_evacuations
 from balsamshed.evacuations.view import EvacuationView
 from balsamshed.peers.report import EndpointReport, PeerReport
-from balsamshed.steering.decisions import replace_routes
 from balsamshed.steering.options import EdgeOptions
+from balsamshed.steering.state import replace_routes
 
 NEAR = tuple(map(build_endpoint, range(1, 4)))
 FAR = tuple(build_endpoint(number, data_centre='b') for number in range(4, 7))
