Let the store of the evacuation test list its latest routes

Change: a read lists the latest table. Result: failed before (routes of version 1 at a revision with version 2), passes now, with test_view_exchange.

--- a/testbed/tests/test_evacuation_exchange.py
+++ b/testbed/tests/test_evacuation_exchange.py
@@ -88,7 +88,7 @@
         )
         effects = handle_endpoints(edge, endpoints, self.now)
         if any(type(effect) is ReadSource for effect in effects):
-            handle_routes(edge, build_table(1), self.now, self.revision)
+            handle_routes(edge, self.tables[-1], self.now, self.revision)
 
     @rule(reader=BALANCERS)
     def lapse_and_return(self, reader):
