Mend what a reading of the merged parts found

Cause, each found by a reader of the diff: - with evacuations followed, the duration of a call to the store stayed 0, so reported ages were too young; - changes of routes that are older than the own ones counted as a mismatch, and the endpoints of their view were discarded; - a whole view of the endpoints with a few changed routes was not paced; - policies and options that are not finite, and endpoints without slots from a peer, passed the checks and raised errors later; - options that are null dropped the platform's bounds, an explicit option was overridden by them, and deep nesting in the settings raised an error. Change: each is checked or counted where it enters.

--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -307,3 +307,21 @@
     peer = RouteHistory()
     record_table(peer, build_table(3))
     assert merge_route_changes(peer, changes).policies == policies
+
+
+@pytest.mark.parametrize('row', [[2, 1e400], [-1, 0], ['x', 1], [1]])
+def test_policy_out_of_range_rejects_the_document(row):
+    """Guards against an error at each view of a cold endpoint, because of one
+    peer's policy."""
+    policies = {'web': ServicePolicy(2, 10)}
+    table = replace(build_table(4), policies=policies)
+    document = json.loads(encode_view(StoreView(build_view(9), table)))
+    assert document['routes']['policies'] == {'web': [2, 10]}
+    document['routes']['policies'] = {'web': row}
+    assert decode_view(json.dumps(document).encode()) is None
+
+
+def test_endpoint_without_slots_rejects_the_document():
+    """Guards against a division by zero for each opening."""
+    view = StoreView(build_view(9, build_endpoint(1, slots=0)), None)
+    assert decode_view(encode_view(view)) is None
--- a/balsamshed/codecs/views.py
+++ b/balsamshed/codecs/views.py
@@ -18,6 +18,8 @@
 from balsamshed.peers.view import StoreView
 from balsamshed.routes.history import RouteChanges
 from balsamshed.routes.table import (
+    MAX_WARM_UP_RATE,
+    MAX_WARM_UP_SECONDS,
     Route,
     RouteTable,
     ServicePolicy,
@@ -237,7 +239,10 @@
     types = tuple(map(type, row))
     if types not in _ROW_TYPES:
         raise TypeError(f'row of an endpoint has the types {types}')
-    return Endpoint(*row)
+    endpoint = Endpoint(*row)
+    if endpoint.slots < 1:
+        raise ValueError(f'endpoint with {endpoint.slots} slots')
+    return endpoint
 
 
 def _decode_any_routes(document: Any) -> RouteTable | RouteChanges | None:
@@ -265,11 +270,22 @@
 
 def _decode_policies(document: Any) -> dict[str, ServicePolicy]:
     return {
-        name: ServicePolicy(float(seconds), float(rate))
-        for name, (seconds, rate) in document.get('policies', {}).items()
+        name: _decode_policy(*row)
+        for name, row in document.get('policies', {}).items()
     }
 
 
+def _decode_policy(seconds: Any, rate: Any) -> ServicePolicy:
+    policy = ServicePolicy(float(seconds), float(rate))
+    is_valid = (
+        0 <= policy.warm_up_seconds <= MAX_WARM_UP_SECONDS
+        and 0 <= policy.warm_up_rate <= MAX_WARM_UP_RATE
+    )
+    if not is_valid:
+        raise ValueError(f'policy out of range: {policy}')
+    return policy
+
+
 def _decode_routes(document: Any) -> list[Route]:
     rows = document['routes']
     # Both are absent from balancers of older builds.
--- a/balsamshed/edge/peer_views.py
+++ b/balsamshed/edge/peer_views.py
@@ -88,13 +88,16 @@
     effects = apply_known_evacuations(edge, view.evacuations, now)
     table = view.routes
     if isinstance(table, RouteChanges):
-        merged_table = merge_route_changes(edge.route_history, table)
-        if merged_table is None:
-            # The endpoints are of a revision with routes that are unknown.
-            return effects + _fetch_all_routes(edge, table, now)
-        table = merged_table
+        if table.version <= edge.steering.routes.version:
+            # A read of the store was faster.
+            table = None
+        else:
+            merged_table = merge_route_changes(edge.route_history, table)
+            if merged_table is None:
+                # The endpoints are of a revision with unknown routes.
+                return effects + _fetch_all_routes(edge, table, now)
+            table = merged_table
     if table is not None:
-        edge.needs_all_routes = False
         effects.extend(apply_routes(edge, table, now))
     if endpoints.revision <= edge.reads.revision:
         if not effects:
@@ -159,10 +162,12 @@
 
 def is_large_view(view: StoreView) -> bool:
     """Tell whether a view holds more than a few of the latest changes."""
+    if isinstance(view.endpoints, EndpointView):
+        return True
     routes = view.routes
     if isinstance(routes, RouteChanges):
-        return len(routes.updated) > MAX_SMALL_CHANGES
-    return routes is not None or isinstance(view.endpoints, EndpointView)
+        return len(routes.updated) + len(routes.removed) > MAX_SMALL_CHANGES
+    return routes is not None
 
 
 def _end_fetch(edge: Edge) -> None:
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -23,6 +23,7 @@
     build_view,
 )
 from balsamshed.edge.views import (
+    apply_routes,
     handle_endpoints,
     handle_read_failed,
     handle_revision,
@@ -392,3 +393,20 @@
     assert edge.steering.routes == table
     assert edge.reads.revision == 3
     assert not edge.needs_all_routes
+
+
+def test_older_changes_of_routes_are_no_mismatch():
+    """Guards against a view that is discarded, since a read of the store had
+    brought newer routes while its changes were under way."""
+    edge, holder = build_edge(), build_edge()
+    for balancer in (edge, holder):
+        read_store(balancer, build_view(1), build_table(1, p443='web'), 0)
+    table = build_table(2, p444='web')
+    read_store(holder, build_view(2, build_endpoint(1)), table, 0)
+    view = create_view_for_peer(holder, 1, 1, takes_route_changes=True)
+    newer = build_table(3, p445='web')
+    apply_routes(edge, newer, 1)
+    events = list_events(handle_peer_view(edge, view, 1))
+    assert events == ['endpoint_added', 'ready']
+    assert edge.steering.routes == newer
+    assert not edge.needs_all_routes
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -209,6 +209,7 @@
     if replace_routes(edge.steering, table):
         record_table(edge.route_history, table)
         edge.routes_applied_at = now
+        edge.needs_all_routes = False
         update_cold_start_bounds(edge.steering)
         fields['routes'] = len(table.routes)
         return [LogEvent('routes_changed', fields)]
--- a/balsamshed/front_ends/edge_store.py
+++ b/balsamshed/front_ends/edge_store.py
@@ -30,6 +30,9 @@
 #: Failures that lie in the content of a list and not on the way to the store.
 _CONTENT_FAILURES: Final = frozenset(('malformed', 'too_many_pages'))
 
+#: Sources whose list shows the store's revision, with which a poll begins.
+_REVISION_SOURCES: Final = (Source.REVISION, Source.EVACUATIONS)
+
 
 def read_store(process: EdgeProcess, effect: ReadSource) -> None:
     """Read a source from the store and apply its content."""
@@ -69,8 +72,9 @@
 ) -> list[EdgeEffect]:
     if isinstance(outcome, HttpFailure):
         return _apply_failure(process, source, outcome, now)
-    if source is Source.REVISION:
+    if source in _REVISION_SOURCES:
         record_call(process.edge.reads, now - started_at)
+    if source is Source.REVISION:
         return handle_revision(process.edge, outcome.revision)
     if source is Source.EVACUATIONS:
         return _apply_evacuations(process, outcome, now)
--- a/balsamshed/platform/entries.py
+++ b/balsamshed/platform/entries.py
@@ -10,6 +10,8 @@
 
 from balsamshed.endpoints.endpoint import Endpoint
 from balsamshed.routes.table import (
+    MAX_WARM_UP_RATE,
+    MAX_WARM_UP_SECONDS,
     Route,
     RouteTable,
     ServicePolicy,
@@ -33,8 +35,6 @@
 _MAX_INTEGER: Final = 2**63 - 1
 _MAX_SLOTS: Final = 1_000_000
 _MAX_DURATION_MS: Final = 86_400_000
-_MAX_WARM_UP_SECONDS: Final = 86_400
-_MAX_WARM_UP_RATE: Final = 1_000_000
 #: Values of ``type`` for routes whose requests may run more than once.
 _IDEMPOTENT_TYPES: Final = ('safe', 'download')
 _READY: Final = 'ready'
@@ -165,8 +165,8 @@
         if not _is_non_empty_string(name):
             continue
         policy = ServicePolicy(
-            _decode_number(service.get('warmupS'), _MAX_WARM_UP_SECONDS),
-            _decode_number(service.get('warmupPerS'), _MAX_WARM_UP_RATE),
+            _decode_number(service.get('warmupS'), MAX_WARM_UP_SECONDS),
+            _decode_number(service.get('warmupPerS'), MAX_WARM_UP_RATE),
         )
         if policy != ServicePolicy():
             policies[str(name)] = policy
--- a/balsamshed/platform/settings.py
+++ b/balsamshed/platform/settings.py
@@ -29,14 +29,17 @@
     """
     try:
         content = json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         return text
     if not isinstance(content, dict):
         return text
     bounds = content.pop(_BOUNDS_KEY, None)
-    options = content.setdefault(_OPTIONS_KEY, {})
-    if isinstance(bounds, Mapping) and isinstance(options, dict):
-        options.update(_list_options(bounds))
+    options = content.get(_OPTIONS_KEY)
+    if options is None:
+        options = {}
+    if isinstance(bounds, Mapping) and isinstance(options, Mapping):
+        # An option that is set itself goes before the platform's bound.
+        content[_OPTIONS_KEY] = {**_list_options(bounds), **options}
     return json.dumps(content)
 
 
--- a/balsamshed/platform/tests/test_settings.py
+++ b/balsamshed/platform/tests/test_settings.py
@@ -27,10 +27,20 @@
 def test_absent_bounds_switch_nothing_on():
     """Guards against parts that change a site that does not ask for them."""
     assert translate(bounds={'graceS': 6}) == {'options': {}}
-    assert translate(bounds=[], name='a') == {'name': 'a', 'options': {}}
+    assert translate(bounds=[], name='a') == {'name': 'a'}
 
 
-@pytest.mark.parametrize('text', ['', '{', '[]'])
+def test_an_option_that_is_set_goes_before_a_bound():
+    """Guards against a part that acts although its option is off."""
+    bounds = {'evacuateMs': 5000}
+    options = {'follow_evacuations': False}
+    assert translate(bounds=bounds, options=options)['options'] == options
+    assert translate(bounds=bounds, options=None)['options'] == {
+        'follow_evacuations': True,
+    }
+
+
+@pytest.mark.parametrize('text', ['', '{', '[]', '[' * 100_000])
 def test_text_that_is_no_object_is_left_to_the_check(text):
     """Guards against an exception in place of a finding."""
     assert translate_settings(text) == text
--- a/balsamshed/routes/table.py
+++ b/balsamshed/routes/table.py
@@ -6,6 +6,9 @@
 from typing import Final
 
 _PORT_BITS = 16
+#: Limits of a policy; larger values are errors of a writer.
+MAX_WARM_UP_SECONDS: Final = 86_400
+MAX_WARM_UP_RATE: Final = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/balsamshed/settings/edge.py
+++ b/balsamshed/settings/edge.py
@@ -76,7 +76,7 @@
     """
     try:
         content = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return (Finding('$', str(error), 'a JSON document'),)
     if not isinstance(content, Mapping):
         return (Finding('$', type(content).__name__, 'an object'),)
--- a/balsamshed/settings/edge_options.py
+++ b/balsamshed/settings/edge_options.py
@@ -14,6 +14,8 @@
 
 #: Key of the options in the settings.
 OPTIONS_KEY: Final = 'options'
+#: Larger numbers, and infinite ones, are faults of the file.
+_MAX_NUMBER: Final = 1_000_000
 _PLACE: Final = f'$.{OPTIONS_KEY}'
 
 
@@ -64,7 +66,9 @@
 
 
 def _is_number(value: Any) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool)
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return False
+    return abs(value) <= _MAX_NUMBER
 
 
 def _is_excess(value: Any) -> bool:
@@ -80,7 +84,7 @@
 
 
 def _is_count(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+    return isinstance(value, int) and not isinstance(value, bool) and value >= 1
 
 
 _FLAG_RULE: Final = _OptionRule('true or false', _is_flag)
@@ -92,7 +96,7 @@
     'balance_data_centres': _FLAG_RULE,
     'limit_admission': _FLAG_RULE,
     'hedged_share': _OptionRule('a number from 0 to 1', _is_share),
-    'hedge_burst': _OptionRule('a whole number from 0', _is_count),
+    'hedge_burst': _OptionRule('a whole number from 1', _is_count),
 }
 #: Hedged openings at once, where the settings name a share only.
 _DEFAULT_HEDGE_BURST: Final = 2
--- a/balsamshed/settings/tests/test_edge_options.py
+++ b/balsamshed/settings/tests/test_edge_options.py
@@ -50,6 +50,11 @@
         ({'follow_evacuations': 1}, '$.options.follow_evacuations'),
         ({'hedged_share': 1.5}, '$.options.hedged_share'),
         ({'hedge_burst': True}, '$.options.hedge_burst'),
+        ({'hedge_burst': 0}, '$.options.hedge_burst'),
+        (
+            {'cold_start_excess': float('inf'), 'cold_start_slack': 1},
+            '$.options.cold_start_excess',
+        ),
         ({'cold_start_excess': 1.5}, '$.options'),
     ],
 )
--- a/balsamshed/store/polling.py
+++ b/balsamshed/store/polling.py
@@ -83,7 +83,7 @@
         Start of the last read by this balancer itself that confirmed the
         revision; None without one.
     call_seconds : float
-        Duration of its last call to the store.
+        Duration of the last call that showed the store's revision.
     unconfirmed_since : float
         Time at which an unconfirmed view was read or taken from a peer.
     pending_revision : int
