Keep a silent balancer in the fleet while others may hear it

Cause: the table of peers drops an address that has been silent for 60 s, also if another peer goes on to pass it on. Change: an address stays in the fleet for 30 s after it has left the table.

--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -32,8 +32,8 @@
     pick_shared_addresses,
 )
 from balsamshed.placement.cold_starts import (
-    distrust_fleet,
     end_warm_ups,
+    suspend_part,
     update_fleet,
 )
 from balsamshed.placement.in_flight import EndpointLoadTracker, is_suspected
@@ -167,7 +167,7 @@
     if cold_starts is None:
         return []
     if pause:
-        distrust_fleet(cold_starts, now)
+        suspend_part(cold_starts, now)
     update_fleet(cold_starts, edge.peer_table, now)
     return [
         LogEvent('endpoint_warm', {'cookie': f'{cookie:08x}'})
--- a/balsamshed/placement/cold_starts.py
+++ b/balsamshed/placement/cold_starts.py
@@ -28,6 +28,9 @@
 #: A balancer that has not heard from half of its fleet for this time stops
 #: using its part, before the others forget it.
 ISOLATION_SECONDS: Final = 30.0
+#: Time for which a balancer stays in the fleet after its address has left the
+#: table of peers: others may still hear it, and pass its address on.
+DEPARTED_SECONDS: Final = 30.0
 #: Time after which others are forgotten although most of the fleet is silent.
 MINORITY_MEMORY_SECONDS: Final = 600.0
 
@@ -51,6 +54,8 @@
         Times of this balancer's latest openings, by cookie.
     parts : dict of int to int
         This balancer's part of each bound, for the fleet as it is.
+    known_at : dict of str to float
+        Time at which an address was last in the table of peers.
     fleet : frozenset of str
         IPv4 addresses of all balancers that may use a part.
     calm_since : float or None
@@ -69,6 +74,7 @@
     bounds: dict[int, int] = field(default_factory=dict)
     sent_at: dict[int, deque[float]] = field(default_factory=dict)
     parts: dict[int, int] = field(default_factory=dict)
+    known_at: dict[str, float] = field(default_factory=dict)
     fleet: frozenset[str] = frozenset()
     calm_since: float | None = None
     heard_majority_at: float = 0
@@ -125,7 +131,7 @@
 
 
 def _forget_cold_start(state: ColdStarts, cookie: int) -> None:
-    """Remove the limit of an endpoint that is warm or has left."""
+    """Remove the limit of an endpoint whose warm-up has ended."""
     for by_cookie in (state.until, state.bounds, state.parts, state.sent_at):
         by_cookie.pop(cookie, None)
 
@@ -142,7 +148,13 @@
     now : float
         Monotonic seconds.
     """
-    known = frozenset((*table.peers, state.own_host))
+    for host in (*table.peers, state.own_host):
+        state.known_at[host] = now
+    known = frozenset(
+        host
+        for host, known_at in state.known_at.items()
+        if now - known_at <= DEPARTED_SECONDS
+    )
     if state.calm_since is None:
         state.calm_since = now
         state.heard_majority_at = now
@@ -160,11 +172,13 @@
         _review_admission(state, table, fleet, now)
     if fleet != state.fleet:
         state.fleet = fleet
+        for host in state.known_at.keys() - fleet:
+            del state.known_at[host]
         state.parts.clear()
 
 
-def distrust_fleet(state: ColdStarts, now: float) -> None:
-    """Use no part for a while, since a pause may have hidden changes."""
+def suspend_part(state: ColdStarts, now: float) -> None:
+    """Suspend the use of the part; a pause may have hidden changes."""
     state.calm_since = now
 
 
--- a/balsamshed/placement/tests/test_cold_starts.py
+++ b/balsamshed/placement/tests/test_cold_starts.py
@@ -4,7 +4,12 @@
 
 from balsamshed.edge.tests.builders import build_endpoint
 from balsamshed.peers.report import PeerReport
-from balsamshed.peers.table import PeerTable, add_peer_addresses, record_report
+from balsamshed.peers.table import (
+    PeerTable,
+    add_peer_addresses,
+    expire_peers,
+    record_report,
+)
 from balsamshed.placement.cold_starts import (
     ISOLATION_SECONDS,
     SETTLE_SECONDS,
@@ -21,6 +26,7 @@
 
 OWN_HOST = '10.9.0.1'
 PEER = '10.9.0.2'
+THIRD = '10.9.0.3'
 COLD = build_endpoint(1)
 
 
@@ -102,3 +108,22 @@
     assert end_warm_ups(state, 1000) == [COLD.cookie]
     assert not state.until
     assert not state.bounds
+
+
+def test_balancer_that_others_hear_stays_in_the_fleet():
+    """Guards against parts that grow beyond the bound each minute while two
+    balancers are cut off from each other, but not from the third."""
+    state, table = build_state([PEER, THIRD], [PEER, THIRD])
+    for now in range(1, 200):
+        # The peer goes on to pass the third one's address on.
+        report = PeerReport('a', 1, 0, (), (THIRD,))
+        record_report(table, PEER, report, now)
+        expire_peers(table, now)
+        update_fleet(state, table, now)
+        assert THIRD in state.fleet
+    for now in range(200, 400):
+        record_report(table, PEER, PeerReport('a', 1, 0, (), ()), now)
+        expire_peers(table, now)
+        update_fleet(state, table, now)
+    assert state.fleet == {OWN_HOST, PEER}
+    assert state.known_at.keys() == state.fleet
