Mend hedges, speeds and explanations after a reading of the merged parts

Cause, each found by a reader of the diff: - the silence of one service's endpoint lowered the limit of the service that was drawn for the repetition; - after a pause, the timer of a first opening hedged its repetition; hedges that were forgotten taught the delay; a request stayed counted at the endpoint that had left its opening to the hedge; - a route whose first durations were taken in a flood had no speeds any more, and durations of removed routes were kept; - an explanation for another data centre used the hysteresis of this one. Change: as named; two functions get names that tell them apart.

--- a/balsamshed/edge/placements.py
+++ b/balsamshed/edge/placements.py
@@ -62,7 +62,7 @@
     service, data_centre : str
         Service that it serves, and where it runs.
     score : float
-        Load that a new request would meet; the lowest one is chosen.
+        Load that a new request would meet; placement prefers low ones.
     own_requests, peer_requests : int
         Requests in flight from this balancer and from its peers.
     slots : int
@@ -71,7 +71,8 @@
         Peers that suspect it.
     excluded_by : str
         ``draining``, ``evacuated``, ``warming_up`` or ``suspected``; empty if
-        it may be chosen.
+        none of these applies. The balance of data centres and a limit of
+        admission may still leave it out.
     """
 
     endpoint: str
@@ -221,6 +222,8 @@
             limits=deepcopy(overload.limits),
             counts=overload.counts.copy(),
         )
+    own_data_centre = steering.load_tracker.data_centre
+    is_own = data_centre == own_data_centre
     return replace(
         steering,
         requests=requests,
@@ -229,8 +232,11 @@
         service_loads=deepcopy(steering.service_loads),
         evacuations=deepcopy(steering.evacuations),
         cold_starts=deepcopy(steering.cold_starts),
-        spreads=deepcopy(steering.spreads),
-        speeds=deepcopy(steering.speeds),
+        spreads=deepcopy(steering.spreads) if is_own else {},
+        reporting_data_centres={
+            **steering.reporting_data_centres,
+            own_data_centre: 1,
+        },
         hedging=deepcopy(steering.hedging),
     )
 
--- a/balsamshed/limits/concurrency.py
+++ b/balsamshed/limits/concurrency.py
@@ -1,6 +1,6 @@
 """Limit of the requests in flight from one balancer to one service.
 
-Answers this load: requests arrive faster than the endpoints can answer them.
+It is for this load: requests arrive faster than the endpoints can answer them.
 An opening that a full endpoint leaves unanswered is repeated until its request
 is late, and then tried again, so that endpoints work on requests that nobody
 waits for, also for seconds after the arrivals are back to normal. What the
--- a/balsamshed/limits/hedging.py
+++ b/balsamshed/limits/hedging.py
@@ -1,6 +1,6 @@
 """Limit of hedged openings, and the delay after which one is sent.
 
-Answers this load: most openings are taken up within milliseconds, and a few
+It is for this load: most openings are taken up within milliseconds, and a few
 wait for the caller's repetition after 200 ms, since a packet was lost or their
 endpoint has just stopped. The same opening, sent to a second endpoint, answers
 them earlier (Dean and Barroso, "The tail at scale", CACM 2013). Each hedge is
@@ -107,7 +107,7 @@
     hedging.tokens = min(tokens, hedging.limit.burst)
 
 
-def can_pay(hedging: Hedging) -> bool:
+def may_send_hedge(hedging: Hedging) -> bool:
     """Tell whether the limit allows one more hedge now."""
     return hedging.tokens >= 1
 
@@ -144,7 +144,9 @@
     """
     hedge = hedging.sent.pop(flow_key, None)
     if hedge is None:
-        _learn_delay(hedging, connect_seconds)
+        # A later one has been repeated, or its hedge has been forgotten.
+        if connect_seconds < SILENCE_SECONDS:
+            _learn_delay(hedging, connect_seconds)
         return False
     if cookie != hedge.second_cookie:
         return False
--- a/balsamshed/placement/speeds.py
+++ b/balsamshed/placement/speeds.py
@@ -35,6 +35,8 @@
 FIRST_DURATIONS: Final = 15
 #: Weight of a further duration in the reference.
 REFERENCE_WEIGHT: Final = 0.02
+#: The same of a duration that is too short to be plausible.
+IMPLAUSIBLE_WEIGHT: Final = 0.002
 #: Octaves from which an endpoint counts as slower or faster than others, and
 #: below which it no longer does. Those in between are equal to placement, so
 #: that balancers do not all choose the one with the lowest estimate.
@@ -209,6 +211,8 @@
         return
     relative = octaves - route.octaves
     if relative < MIN_PLAUSIBLE_OCTAVES:
+        # Durations that have become shorter for good are plausible again.
+        route.octaves += IMPLAUSIBLE_WEIGHT * _cut_off(relative)
         return
     route.octaves += REFERENCE_WEIGHT * _cut_off(relative)
     estimate = _get_estimate(speeds, sample.cookie)
@@ -219,6 +223,12 @@
     _add_samples(estimate.joined, octaves, 1, now)
 
 
+def forget_routes(speeds: EndpointSpeeds, listeners: Collection[int]) -> None:
+    """Remove the typical durations of all routes but the given ones."""
+    for listener in speeds.routes.keys() - set(listeners):
+        del speeds.routes[listener]
+
+
 def join_reports(
     speeds: EndpointSpeeds, reports: Iterable[SpeedReport], now: float
 ) -> None:
--- a/balsamshed/steering/hedged_openings.py
+++ b/balsamshed/steering/hedged_openings.py
@@ -13,7 +13,7 @@
     SILENCE_SECONDS,
     Hedging,
     SentHedge,
-    can_pay,
+    may_send_hedge,
     record_sent,
     take_silent,
 )
@@ -30,7 +30,7 @@
 from balsamshed.steering.requests import PendingRequest, RequestStage
 from balsamshed.steering.state import Steering
 
-#: An endpoint that has not answered for this long may have stopped to listen.
+#: An endpoint that has not answered for this long may no longer listen.
 #: Its reset would end an opening that the first endpoint is about to answer.
 PROOF_SECONDS: Final = 30.0
 #: Requests in flight for each slot from which an endpoint gets no hedge: the
@@ -91,7 +91,7 @@
     request = steering.requests.pending.get(packet.flow_key)
     if hedging is None or not _is_waiting(request, hedging, packet, now):
         return None
-    if not can_pay(hedging):
+    if not may_send_hedge(hedging):
         return WithheldHedge.OVER_LIMIT
     if is_path_lossy(steering.requests.path_loss, now):
         # More packets would fill the balancer's own link further.
@@ -153,7 +153,7 @@
 ) -> TypeGuard[PendingRequest]:
     if request is None or request.stage is not RequestStage.OPENING:
         return False
-    if packet.flow_key in hedging.sent:
+    if packet.flow_key in hedging.sent or request.copies > 1:
         return False
     return now - request.started_at < SILENCE_SECONDS
 
--- a/balsamshed/steering/openings.py
+++ b/balsamshed/steering/openings.py
@@ -104,22 +104,13 @@
                 return duplicate
         elif packet.attempt:
             avoided_cookie = previous.cookie
-            record_repetition(steering.requests, previous, now)
-            is_proven = is_proven_since(
-                steering.requests.path_loss, previous.started_at
-            )
-            record_unanswered_packet(
-                steering.load_tracker,
-                avoided_cookie,
-                packet.flow_key if is_proven else None,
-                now,
-            )
+            _record_silence(steering, packet, route, previous, now)
     service = _choose_service(steering, route)
     if service is None:
         return _NO_ENDPOINT
     endpoint = choose_least_loaded(
         steering.load_tracker,
-        _sample_candidates(steering, service, avoided_cookie, now),
+        _narrow_candidates(steering, service, avoided_cookie, now),
         avoided_cookie,
         steering.randbelow,
         now,
@@ -134,6 +125,28 @@
     return ForwardFlow(endpoint, cookie)
 
 
+def _record_silence(
+    steering: Steering,
+    packet: FlowPacket,
+    route: Route,
+    request: PendingRequest,
+    now: float,
+) -> None:
+    """Record that the endpoint of a repeated opening left it unanswered."""
+    cookie = request.cookie
+    record_repetition(steering.requests, request, now)
+    is_proven = is_proven_since(steering.requests.path_loss, request.started_at)
+    record_unanswered_packet(
+        steering.load_tracker,
+        cookie,
+        packet.flow_key if is_proven else None,
+        now,
+    )
+    silent = find_on_route(steering, route, cookie)
+    if silent is not None and steering.overload is not None:
+        learn_from_silence(steering.overload, silent.service, now)
+
+
 def _record_opening(
     steering: Steering, packet: FlowPacket, cookie: int, now: float
 ) -> None:
@@ -178,10 +191,13 @@
     return list_open_endpoints(cold_starts, candidates, now)
 
 
-def _sample_candidates(
+def _narrow_candidates(
     steering: Steering, service: str, avoided_cookie: int | None, now: float
 ) -> Sequence[Endpoint]:
-    """Return the endpoints of which the least loaded one is chosen."""
+    """Return the candidates that placement compares.
+
+    They are chosen by data centre, then by overload.
+    """
     candidates: Sequence[Endpoint] = list_candidates(steering, service, now)
     # For a repeated opening, another data centre may have the only endpoint
     # that answers.
@@ -197,8 +213,6 @@
     overload = steering.overload
     if overload is None:
         return candidates
-    if avoided_cookie is not None:
-        learn_from_silence(overload, service, now)
     return sample_candidates(
         overload, service, candidates, avoided_cookie, steering.randbelow, now
     )
--- a/balsamshed/steering/overload.py
+++ b/balsamshed/steering/overload.py
@@ -194,10 +194,10 @@
     randbelow: RandBelow,
     now: float,
 ) -> Sequence[Endpoint]:
-    """Return the endpoints of which the least loaded one is chosen.
+    """Return two random endpoints while the service is overloaded, else all.
 
-    While a service is overloaded, these are a few random ones: reports are
-    old, and all balancers would choose the same least loaded endpoints.
+    Reports are old, and all balancers would choose the same least loaded
+    endpoints.
 
     Parameters
     ----------
--- a/balsamshed/steering/requests.py
+++ b/balsamshed/steering/requests.py
@@ -190,6 +190,7 @@
         request.stage = RequestStage.OPENED
         table.answered_at[cookie] = now
         _record_proof(table, request)
+        _move_request(table, request, cookie)
     if packet.kind is PacketKind.CLOSING:
         end_request(table, packet.flow_key)
     elif packet.kind is PacketKind.DATA:
@@ -200,6 +201,17 @@
     return LatencySample(cookie, connect_seconds=connect_seconds)
 
 
+def _move_request(
+    table: RequestTable, request: PendingRequest, cookie: int
+) -> None:
+    """Count a request at the endpoint that has answered its opening."""
+    if request.cookie == cookie:
+        return
+    _decrement(table.counts, request.cookie)
+    table.counts[cookie] = table.counts.get(cookie, 0) + 1
+    request.cookie = cookie
+
+
 def end_request(table: RequestTable, flow_key: bytes) -> None:
     """Remove the pending request of a flow, if there is one."""
     request = table.pending.pop(flow_key, None)
--- a/balsamshed/steering/state.py
+++ b/balsamshed/steering/state.py
@@ -28,7 +28,7 @@
 from balsamshed.placement.in_flight import (
     EndpointLoadTracker,
 )
-from balsamshed.placement.speeds import EndpointSpeeds
+from balsamshed.placement.speeds import EndpointSpeeds, forget_routes
 from balsamshed.random_numbers import RandBelow
 from balsamshed.routes.table import RouteTable, choose_newer
 from balsamshed.steering.options import NO_OPTIONS, EdgeOptions
@@ -198,6 +198,8 @@
         del steering.service_loads[service]
     for service in steering.spreads.keys() - table.services:
         del steering.spreads[service]
+    if steering.speeds is not None:
+        forget_routes(steering.speeds, table.routes)
     if steering.overload is not None:
         forget_services(steering.overload, table.services)
     return True
--- a/balsamshed/steering/tests/test_hedged_openings.py
+++ b/balsamshed/steering/tests/test_hedged_openings.py
@@ -97,6 +97,26 @@
     assert hedge_opening(steering, OPENING, AFTER_SILENCE) is None
 
 
+def test_a_repetition_is_not_hedged_after_a_pause():
+    """Guards against a hedge beside the endpoint that the repetition went to,
+    sent by the late timer of the first copy."""
+    steering = build_steering(FIRST, SECOND)
+    open_flow(steering)
+    steer_packet(steering, replace(OPENING, attempt=1), 1.3)
+    assert hedge_opening(steering, OPENING, 1.35) is None
+
+
+def test_request_counts_at_the_endpoint_that_won():
+    """Guards against load reported for an endpoint that was silent."""
+    steering = build_steering(FIRST, SECOND)
+    first = open_flow(steering)
+    second = hedge_opening(steering, OPENING, 1 + DELAY)
+    packet = build_packet(PacketKind.ACKNOWLEDGEMENT, cookie=second.cookie)
+    steer_packet(steering, packet, 1.03)
+    assert steering.requests.counts == {second.cookie: 1}
+    assert first.cookie != second.cookie
+
+
 def test_nothing_is_hedged_while_the_option_is_off():
     """Guards against a part that changes sites whose settings do not ask."""
     steering = create_steering('a', 60, PeerTable('10.9.0.1'), always_zero)
--- a/testbed/tests/test_endpoint_speeds.py
+++ b/testbed/tests/test_endpoint_speeds.py
@@ -245,3 +245,15 @@
 
     choose(build_tracker(), candidates, randbelow)
     assert limits == [len(candidates)]
+
+
+def test_reference_follows_durations_that_became_shorter_for_good():
+    """Guards against a service whose speeds are unknown for the life of the
+    process, since its first requests met a flood."""
+    speeds = EndpointSpeeds()
+    for number in range(FIRST_DURATIONS):
+        record_duration(speeds, DurationSample(1, LISTENER, 1, 0.5), number)
+    for number in range(4000):
+        sample = DurationSample(1, LISTENER, 0.05, 0.5)
+        record_duration(speeds, sample, 20 + number / 100)
+    assert speeds.routes[LISTENER].octaves < -3.5
