--- a/balsamshed/__main__.py
+++ b/balsamshed/__main__.py
@@ -8,7 +8,7 @@
 
 
 def _main() -> int:
-    """Run one command, of which a balancer survives an early SIGHUP."""
+    """Run one command. A balancer ignores SIGHUP until it has a handler."""
     if sys.argv[1:2] and sys.argv[1] in _BALANCER_COMMANDS:
         # The default action ends the process. The settings are read later, so
         # a reload that is asked for now loses nothing.
--- a/balsamshed/edge/evacuations.py
+++ b/balsamshed/edge/evacuations.py
@@ -56,7 +56,7 @@
     steering = edge.steering
     if view is None or not steering.options.follows_evacuations:
         return []
-    changes = apply_evacuations(steering.evacuations, view, now)
+    changes = apply_evacuations(steering.evacuations, view)
     effects: list[EdgeEffect] = [
         _describe_change(edge, change) for change in changes
     ]
@@ -82,7 +82,7 @@
         return False
     if get_known_revision(steering.evacuations) >= reads.revision:
         return False
-    return now - edge.evacuations_read_at >= READ_INTERVAL_SECONDS
+    return now - edge.read_started_at >= READ_INTERVAL_SECONDS
 
 
 def _describe_change(edge: Edge, change: EvacuationChange) -> LogEvent:
--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -145,7 +145,7 @@
 
 
 def _start_read(edge: Edge, now: float) -> ReadSource:
-    edge.evacuations_read_at = now
+    edge.read_started_at = now
     follows_evacuations = edge.steering.options.follows_evacuations
     source = start_read(edge.reads, now, follows_evacuations)
     return ReadSource(source, edge.reads.may_be_stale)
--- a/balsamshed/edge/peer_views.py
+++ b/balsamshed/edge/peer_views.py
@@ -7,7 +7,7 @@
     apply_known_evacuations,
     create_evacuations_for_peer,
 )
-from balsamshed.edge.speeds import greet_peer
+from balsamshed.edge.speeds import queue_first_supplement
 from balsamshed.edge.state import Edge, detect_pause
 from balsamshed.edge.views import (
     apply_endpoints,
@@ -58,7 +58,7 @@
     """Apply a peer's report, and fetch its view if it is newer."""
     effects: list[EdgeEffect] = []
     if record_report(edge.peer_table, host, report, now):
-        greet_peer(edge, host)
+        queue_first_supplement(edge, host)
         effects.append(
             LogEvent(
                 'peer_found',
--- a/balsamshed/edge/speeds.py
+++ b/balsamshed/edge/speeds.py
@@ -27,8 +27,8 @@
         join_reports(edge.steering.speeds, supplement.speeds, now)
 
 
-def greet_peer(edge: Edge, host: str) -> None:
-    """Send the next supplement to a peer that was just found."""
+def queue_first_supplement(edge: Edge, host: str) -> None:
+    """Queue a peer that was just found for the next supplement."""
     if edge.steering.speeds is not None:
         edge.supplements.new_peers.append(host)
 
--- a/balsamshed/edge/state.py
+++ b/balsamshed/edge/state.py
@@ -82,7 +82,7 @@
         Whether it has started to read the packets of callers.
     has_been_ready : bool
         Whether it has ever been ready.
-    evacuations_read_at : float
+    read_started_at : float
         Start of the last read of the store.
     suspected_cookies : frozenset of int
         Cookies of the endpoints that were under suspicion at the last tick.
@@ -118,7 +118,7 @@
     packets_discarded_at: float = 0
     has_accepted_packets: bool = False
     has_been_ready: bool = False
-    evacuations_read_at: float = 0
+    read_started_at: float = 0
     suspected_cookies: frozenset[int] = frozenset()
     supplements: SupplementSchedule = field(default_factory=SupplementSchedule)
     busy_services: frozenset[str] = frozenset()
--- a/balsamshed/evacuations/state.py
+++ b/balsamshed/evacuations/state.py
@@ -9,7 +9,6 @@
     UNKNOWN_NAME,
     EvacuationChange,
     EvacuationView,
-    list_returned,
 )
 from balsamshed.store.revisions import get_era
 
@@ -44,8 +43,6 @@
         at which they were written. A copy of the store may list them again.
     in_force : frozenset of str
         Evacuated data centres: those that are listed or kept.
-    returned_at : dict of str to float
-        Monotonic seconds of the latest return of a data centre, by name.
     permitted : dict of str to (tuple of Endpoint, tuple of Endpoint)
         Cache by service: its available endpoints, and those of them outside
         the evacuated data centres.
@@ -58,14 +55,13 @@
     kept: frozenset[str] = frozenset()
     removed: dict[str, int] = field(default_factory=dict)
     in_force: frozenset[str] = frozenset()
-    returned_at: dict[str, float] = field(default_factory=dict)
     permitted: dict[str, tuple[_Endpoints, _Endpoints]] = field(
         default_factory=dict,
     )
 
 
 def apply_evacuations(
-    state: EvacuationState, view: EvacuationView, now: float
+    state: EvacuationState, view: EvacuationView
 ) -> tuple[EvacuationChange, ...]:
     """Put a view of the evacuations in force, unless it is older.
 
@@ -81,8 +77,6 @@
         Changed in place.
     view : EvacuationView
         Evacuations that the store lists, or that a peer knows.
-    now : float
-        Monotonic seconds.
 
     Returns
     -------
@@ -109,8 +103,6 @@
     )
     if changes:
         state.permitted.clear()
-    for data_centre in list_returned(changes):
-        state.returned_at[data_centre] = now
     return changes
 
 
--- a/balsamshed/evacuations/tests/test_state.py
+++ b/balsamshed/evacuations/tests/test_state.py
@@ -25,7 +25,7 @@
 def build_state(*views):
     state = EvacuationState()
     for view in views:
-        apply_evacuations(state, view, 0)
+        apply_evacuations(state, view)
     return state
 
 
@@ -33,19 +33,18 @@
     """Guards against a begin or an end that is overlooked."""
     state = EvacuationState()
     view = EvacuationView(5, {'b': 5})
-    assert apply_evacuations(state, view, 1) == (BEGUN,)
-    assert apply_evacuations(state, EvacuationView(6, {'b': 5}), 2) == ()
-    changes = apply_evacuations(state, EvacuationView(7), 3)
+    assert apply_evacuations(state, view) == (BEGUN,)
+    assert apply_evacuations(state, EvacuationView(6, {'b': 5})) == ()
+    changes = apply_evacuations(state, EvacuationView(7))
     assert changes == (ENDED,)
     assert list_returned(changes) == ('b',)
-    assert state.returned_at == {'b': 3}
     assert not state.in_force
 
 
 def test_older_view_changes_nothing():
     """Guards against an evacuation undone by a stale read or a slow peer."""
     state = build_state(EvacuationView(5, {'b': 5}))
-    assert apply_evacuations(state, EvacuationView(4), 1) == ()
+    assert apply_evacuations(state, EvacuationView(4)) == ()
     assert state.in_force == {'b'}
 
 
@@ -53,9 +52,9 @@
     """Guards against a bad write that begins or ends an evacuation."""
     state = build_state(EvacuationView(5, {'b': 5}))
     bad = EvacuationView(7, unreadable=frozenset('bc'))
-    assert apply_evacuations(state, bad, 1) == ()
+    assert apply_evacuations(state, bad) == ()
     assert state.in_force == {'b'}
-    assert apply_evacuations(state, EvacuationView(8), 2) == (ENDED,)
+    assert apply_evacuations(state, EvacuationView(8)) == (ENDED,)
 
 
 def test_entry_without_a_readable_name_ends_no_evacuation():
@@ -63,7 +62,7 @@
     unreadable together with its name."""
     state = build_state(EvacuationView(5, {'b': 5}))
     bad = EvacuationView(7, unreadable=frozenset((UNKNOWN_NAME,)))
-    assert apply_evacuations(state, bad, 1) == ()
+    assert apply_evacuations(state, bad) == ()
     assert state.in_force == {'b'}
 
 
@@ -74,7 +73,7 @@
     started_later = build_state(bad)
     assert not started_later.in_force
     peer = build_state(EvacuationView(5, {'b': 5}))
-    apply_evacuations(peer, create_evacuation_view(started_later), 1)
+    apply_evacuations(peer, create_evacuation_view(started_later))
     assert peer.in_force == {'b'}
 
 
@@ -93,21 +92,21 @@
     copy older than the request."""
     state = build_state(EvacuationView(combine_revision(0, 90), {'b': 85}))
     restored = EvacuationView(combine_revision(1, 80))
-    assert apply_evacuations(state, restored, 1) == ()
-    apply_evacuations(state, EvacuationView(combine_revision(1, 81)), 2)
+    assert apply_evacuations(state, restored) == ()
+    apply_evacuations(state, EvacuationView(combine_revision(1, 81)))
     assert state.in_force == {'b'}
     # A peer that had not read the entry before learns of it.
     peer = build_state(EvacuationView(combine_revision(0, 80)))
-    apply_evacuations(peer, create_evacuation_view(state), 2)
+    apply_evacuations(peer, create_evacuation_view(state))
     assert peer.in_force == {'b'}
     # The operator writes the entry again and removes it.
     written = EvacuationView(combine_revision(1, 82), {'b': 82})
-    apply_evacuations(state, written, 3)
+    apply_evacuations(state, written)
     last = EvacuationView(combine_revision(1, 83))
-    assert apply_evacuations(state, last, 4) == (ENDED,)
+    assert apply_evacuations(state, last) == (ENDED,)
     # The peer, which skipped these revisions, does not bring it back.
     stale = EvacuationView(combine_revision(1, 84), kept=frozenset('b'))
-    assert apply_evacuations(state, stale, 5) == ()
+    assert apply_evacuations(state, stale) == ()
 
 
 def test_entry_that_was_removed_does_not_come_back_with_a_copy():
@@ -118,9 +117,9 @@
         EvacuationView(combine_revision(0, 95)),
     )
     restored = EvacuationView(combine_revision(1, 90), {'b': 85})
-    assert apply_evacuations(state, restored, 1) == ()
+    assert apply_evacuations(state, restored) == ()
     written = EvacuationView(combine_revision(1, 92), {'b': 92})
-    assert apply_evacuations(state, written, 2) == (BEGUN,)
+    assert apply_evacuations(state, written) == (BEGUN,)
 
 
 def test_removed_entries_are_bounded():
@@ -128,7 +127,7 @@
     state = EvacuationState()
     for number in range(MAX_REMOVED_ENTRIES + 2):
         view = EvacuationView(2 * number, {f'z{number}': number})
-        apply_evacuations(state, view, 0)
+        apply_evacuations(state, view)
     assert len(state.removed) == MAX_REMOVED_ENTRIES
     assert 'z0' not in state.removed
 
@@ -139,10 +138,10 @@
     state = EvacuationState()
     both = (near, far)
     assert exclude_evacuated(state, 'web', both) is both
-    apply_evacuations(state, EvacuationView(5, {'b': 5}), 0)
+    apply_evacuations(state, EvacuationView(5, {'b': 5}))
     first = exclude_evacuated(state, 'web', both)
     assert first == (near,)
     assert exclude_evacuated(state, 'web', both) is first
     assert exclude_evacuated(state, 'web', (far,)) == ()
-    apply_evacuations(state, EvacuationView(6, {'a': 6}), 0)
+    apply_evacuations(state, EvacuationView(6, {'a': 6}))
     assert exclude_evacuated(state, 'web', both) == (far,)
--- a/balsamshed/limits/concurrency.py
+++ b/balsamshed/limits/concurrency.py
@@ -174,11 +174,11 @@
 def smooth_in_flight(
     limit: ConcurrencyLimit, in_flight: int, priority: int, now: float
 ) -> float:
-    """Return the requests in flight that an opening is held against.
+    """Return the requests in flight that an opening is compared with.
 
     If each pause of a service that is full on average let another long flow in,
     open flows would add up to more requests than the endpoints can answer. So
-    openings of such flows are held against the recent mean if it is higher.
+    openings of such flows are compared with the recent mean if it is higher.
 
     Parameters
     ----------
--- a/balsamshed/placement/cold_starts.py
+++ b/balsamshed/placement/cold_starts.py
@@ -58,7 +58,7 @@
         Time at which an address was last in the table of peers.
     fleet : frozenset of str
         IPv4 addresses of all balancers that may use a part.
-    calm_since : float or None
+    settled_since : float or None
         Time of the last change that keeps this balancer from using its part.
     heard_majority_at : float
         Time at which most of the fleet was last heard.
@@ -76,7 +76,7 @@
     parts: dict[int, int] = field(default_factory=dict)
     known_at: dict[str, float] = field(default_factory=dict)
     fleet: frozenset[str] = frozenset()
-    calm_since: float | None = None
+    settled_since: float | None = None
     heard_majority_at: float = 0
     is_admitted: bool = False
     openings_withheld: int = 0
@@ -155,8 +155,8 @@
         for host, known_at in state.known_at.items()
         if now - known_at <= DEPARTED_SECONDS
     )
-    if state.calm_since is None:
-        state.calm_since = now
+    if state.settled_since is None:
+        state.settled_since = now
         state.heard_majority_at = now
     heard = {host for host, peer in table.peers.items() if peer.report}
     fleet = state.fleet | known
@@ -167,7 +167,7 @@
         fleet = known
         state.heard_majority_at = now
     if now - state.heard_majority_at > ISOLATION_SECONDS:
-        state.calm_since = now
+        state.settled_since = now
     if not state.is_admitted:
         _review_admission(state, table, fleet, now)
     if fleet != state.fleet:
@@ -179,7 +179,7 @@
 
 def suspend_part(state: ColdStarts, now: float) -> None:
     """Suspend the use of the part; a pause may have hidden changes."""
-    state.calm_since = now
+    state.settled_since = now
 
 
 def may_open(state: ColdStarts, cookie: int, now: float) -> bool:
@@ -226,7 +226,7 @@
 ) -> int:
     """Return one balancer's part of the bound of an endpoint.
 
-    The openings of the bound are dealt out to the fleet in its order of
+    The openings of the bound are assigned to the fleet in its order of
     preference for the endpoint, so that the parts add up to the bound.
 
     Parameters
@@ -252,8 +252,8 @@
 def _uses_parts(state: ColdStarts, now: float) -> bool:
     return (
         state.is_admitted
-        and state.calm_since is not None
-        and now - state.calm_since >= SETTLE_SECONDS
+        and state.settled_since is not None
+        and now - state.settled_since >= SETTLE_SECONDS
     )
 
 
@@ -272,7 +272,7 @@
 ) -> None:
     """Join the fleet once every known balancer was heard and none is new."""
     if fleet - state.fleet:
-        state.calm_since = now
+        state.settled_since = now
     has_heard_all = all(peer.was_heard for peer in table.peers.values())
-    calm_since = now if state.calm_since is None else state.calm_since
-    state.is_admitted = has_heard_all and now - calm_since >= SETTLE_SECONDS
+    settled_since = now if state.settled_since is None else state.settled_since
+    state.is_admitted = has_heard_all and now - settled_since >= SETTLE_SECONDS
--- a/balsamshed/placement/in_flight.py
+++ b/balsamshed/placement/in_flight.py
@@ -95,7 +95,10 @@
     randbelow: RandBelow,
     now: float,
 ) -> Endpoint | None:
-    """Choose the endpoint with the lowest score.
+    """Choose the endpoint with the lowest score of those compared.
+
+    Suspected endpoints are left out while there are others, and now and then
+    an idle slow one is tried.
 
     Parameters
     ----------
@@ -107,8 +110,8 @@
         Cookie of an endpoint that did not answer this flow's last opening
         packet; chosen only if there is no other.
     randbelow : callable
-        Returns a random integer from 0 to below its argument; breaks ties
-        between equal scores.
+        Returns a random integer from 0 to below its argument; chooses which
+        endpoint is compared first, and when to try a slow one.
     now : float
         Monotonic seconds.
 
--- a/balsamshed/steering/tests/test_decisions.py
+++ b/balsamshed/steering/tests/test_decisions.py
@@ -221,7 +221,7 @@
 def evacuate(steering, *data_centres):
     revision = steering.evacuations.revision + 1
     view = EvacuationView(revision, dict.fromkeys(data_centres, revision))
-    apply_evacuations(steering.evacuations, view, 0)
+    apply_evacuations(steering.evacuations, view)
 
 
 def test_evacuated_data_centre_gets_no_opening_and_keeps_its_flows():
--- a/testbed/tests/test_edge_data_centres.py
+++ b/testbed/tests/test_edge_data_centres.py
@@ -87,7 +87,7 @@
     report(edge, FAR_PEER, 'b', FAR, 0, 0)
     assert 'b' in open_flows(edge, 0)
     view = EvacuationView(1, {'b': 1})
-    apply_evacuations(edge.steering.evacuations, view, 0)
+    apply_evacuations(edge.steering.evacuations, view)
     assert set(open_flows(edge, 0.01)) == {'a'}
 
 
