--- a/review/standins_2/site_2.py
+++ b/review/standins_2/site_2.py
@@ -608,7 +608,7 @@
         boot = self.work / f'{number}.json'
         boot.write_text(text)
         log = self.logs.setdefault(
-            host, (self.work / f'{number}.log').open('ab')
+            host, (self.work / f'{10 + number}.log').open('ab')
         )
         env = {
             name: os.environ[name]
