--- a/review/standins_2/site_2.py
+++ b/review/standins_2/site_2.py
@@ -12,6 +12,7 @@
 import random
 import re
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -703,6 +704,8 @@
         await site.start()
         return await play(site, trouble)
 
+    # A case that is stopped from outside ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         status = asyncio.run(asyncio.wait_for(main(), 110))
     except Exception as error:  # noqa: BLE001
