Read on after an unreadable entry that ends a page

Cause: the next page starts after the name of a page's last object. A spec that can't be decoded and has no brackets made its whole object unreadable, with the name, so that the page counted as malformed and the read failed at each poll. Change: objects of a page that can't be decoded as a whole are read one by one, each by its members. Where the end of an object can't be told, the page is cut there, and the next one starts after that object. Names may hold any bytes. Why it works: the name is written by the store before the spec, and is read before anything that another writer has chosen.

--- a/balsamshed/platform/documents.py
+++ b/balsamshed/platform/documents.py
@@ -1,26 +1,48 @@
-"""JSON documents of the store, of which single parts may be unreadable.
+"""Lists of objects in JSON, of which single parts may be unreadable.
 
 Other writers can store any bytes under a name. JSON's decoder rejects a whole
-document for one of its values: a number of more than 4,300 digits, deep
-nesting, or text that is not UTF-8. A rejected document is therefore split at
-its brackets, so that only the unreadable part is lost.
+list for one of its values: a number of more than 4,300 digits, deep nesting,
+or text that is not UTF-8. The objects of a rejected list are therefore read
+one by one, and each by its members. Only the unreadable part is lost, and the
+name of its object, after which the next page starts, is kept. Where the end of
+an object can't be told, the list is cut there, and the next page starts after
+that object.
 """
 
 import json
 import re
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any, Final
 
-#: Nesting of a list of objects down to the parts of one object: the document,
-#: its items, an item, and one of the item's parts.
-PAGE_LEVELS: Final = 4
+#: Handles one object of a list.
+ItemHandler = Callable[[Any], None]
 
-_DECODE_ERRORS: Final = (ValueError, RecursionError)
-#: A string, or a bracket that is not part of one.
-_TOKEN: Final = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[\]{}]', re.DOTALL)
-_OPENING_BRACKETS: Final = (b'[', b'{')
-_CLOSING_BRACKETS: Final = (b']', b'}')
+#: Nesting of an object's members that are read by their own members.
+_MEMBER_LEVELS: Final = 1
+_ITEMS: Final = 'items'
+_META: Final = 'meta'
+_SCAN_ERRORS: Final = (ValueError, RecursionError)
+_STRING: Final = r'"(?:[^"\\]++|\\.)*+"'
+_SPACE: Final = re.compile(r'[ \t\r\n]*+')
+_EMPTY_LIST: Final = re.compile(r'\[[ \t\r\n]*+\]')
+_EMPTY_OBJECT: Final = re.compile(r'\{[ \t\r\n]*+\}')
+#: Name of a member with the colon behind it.
+_NAME: Final = re.compile(
+    rf'[ \t\r\n]*+({_STRING})[ \t\r\n]*+:[ \t\r\n]*+', re.DOTALL
+)
+#: A string, or a token without quotes and brackets.
+_SCALAR: Final = re.compile(rf'{_STRING}|[^ \t\r\n"\\,:\[\]{{}}]++', re.DOTALL)
+#: Brackets of one direction, or what stands between brackets.
+_TOKEN: Final = re.compile(
+    rf'[\[{{]++|[\]}}]++|(?:[^"\[\]{{}}]++|{_STRING})++', re.DOTALL
+)
+#: Name that each object has, so that no value of an object reaches past it.
+_META_NAME: Final = f'"{_META}"'
+#: Bytes that are not UTF-8, as ``surrogateescape`` decodes them.
+_ESCAPED_BYTE: Final = re.compile('[\udc80-\udcff]')
+#: Decodes the value at a position; returns it with the position of its end.
+_scan: Final = json.JSONDecoder().raw_decode
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,71 +58,234 @@
     reason: str
 
 
-def decode_document(body: bytes, levels: int = PAGE_LEVELS) -> Any:
-    """Decode a JSON document in which single parts may be unreadable.
+_UNDECODABLE_TEXT: Final = UnreadablePart(UnicodeDecodeError.__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class ListFrame:
+    """What a list holds beside its objects.
+
+    Parameters
+    ----------
+    fields : mapping of str to object
+        The other members of the document.
+    is_cut : bool
+        Whether the objects after the last one that was read are left out.
+    """
+
+    fields: Mapping[str, Any]
+    is_cut: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Member:
+    """Member of an object in the text of a list.
+
+    Parameters
+    ----------
+    name : str
+        Name of the member.
+    content : object
+        Its decoded value, or an `UnreadablePart`.
+    start : int
+        Position of the value.
+    end : int
+        Position after the value and the space behind it; -1 if it is unknown.
+    """
+
+    name: str
+    content: Any
+    start: int
+    end: int
+
+
+def decode_list(body: bytes, handle_item: ItemHandler) -> ListFrame | None:
+    """Decode a list of objects, of which single parts may be unreadable.
 
     Parameters
     ----------
     body : bytes
-        JSON document.
-    levels : int
-        Number of levels of nesting at which an unreadable document is split
-        into its parts.
+        JSON object with the listed objects under ``items``.
+    handle_item : callable
+        Called for each listed object, with an `UnreadablePart` in place of
+        each part that cannot be decoded. An object whose end can't be told is
+        the last one, and may lack members.
+
+    Returns
+    -------
+    ListFrame or None
+        The other members of the document; None if it is malformed.
+    """
+    try:
+        return _handle_all(json.loads(body), handle_item)
+    except _SCAN_ERRORS:
+        text = body.decode(errors='surrogateescape')
+    fields: dict[str, Any] = {}
+    try:
+        is_whole = _read_list(text, fields, handle_item)
+    except _SCAN_ERRORS:
+        is_whole = False
+    if is_whole:
+        return ListFrame(fields, is_cut=False)
+    tail = _read_tail(text)
+    return None if tail is None else ListFrame(fields | tail, is_cut=True)
+
+
+def _handle_all(document: Any, handle_item: ItemHandler) -> ListFrame | None:
+    listed = document.pop(_ITEMS, None) if isinstance(document, dict) else None
+    if not isinstance(listed, list):
+        return None
+    for listed_object in listed:
+        handle_item(listed_object)
+    return ListFrame(document, is_cut=False)
+
+
+def _read_list(
+    text: str, fields: dict[str, Any], handle_item: ItemHandler
+) -> bool:
+    """Read a list whose text can't be decoded as a whole.
 
     Returns
     -------
-    object
-        The decoded document, with an `UnreadablePart` in place of each part
-        that cannot be decoded; one alone if nothing can.
+    bool
+        Whether the list was read up to its end.
     """
+    position = _skip_space(text, 0)
+    separator = ',' if _is_at(text, position, '{') else ''
+    while separator == ',':
+        named = _NAME.match(text, position + 1)
+        if named is None:
+            return False
+        if named[1] == f'"{_ITEMS}"':
+            position = _read_items(text, named.end(), handle_item)
+        else:
+            content, position = _scan(text, named.end())
+            fields[named[1][1:-1]] = content
+        if position < 0:
+            return False
+        position = _skip_space(text, position)
+        separator = text[position : position + 1]
+    return separator == '}' and _skip_space(text, position + 1) == len(text)
+
+
+def _read_tail(text: str) -> dict[str, Any] | None:
+    """Return the members behind a list that was not read up to its end."""
+    # Only the list has brackets, so that its own one is the last.
+    tail = text[text.rfind(']') + 1 :]
     try:
-        return json.loads(body)
-    except _DECODE_ERRORS as error:
-        if not levels:
-            return UnreadablePart(type(error).__name__)
-        return _decode_parts(body, levels)
-
-
-def _decode_parts(body: bytes, levels: int) -> Any:
-    """Decode a document whose parts are decoded one by one."""
-    outline = bytearray()
-    parts: list[Any] = []
-    end = 0
-    for start, stop in _find_parts(body):
-        # The outline has no other lists than these placeholders.
-        outline += b'%s[%d]' % (body[end:start], len(parts))
-        parts.append(decode_document(body[start:stop], levels - 1))
-        end = stop
-    outline += body[end:]
+        return dict(json.loads(f'{{"{_ITEMS}":[]{tail}'))
+    except _SCAN_ERRORS:
+        return None
+
+
+def _read_items(text: str, start: int, handle_item: ItemHandler) -> int:
+    """Return the position after a list of objects; -1 if it is unknown."""
+    empty = _EMPTY_LIST.match(text, start)
+    if empty is not None:
+        return empty.end()
+    position = start
+    separator = ',' if _is_at(text, start, '[') else ''
+    while separator == ',':
+        start = _skip_space(text, position + 1)
+        listed_object, position = _read_item(text, start)
+        handle_item(listed_object)
+        if position < 0:
+            return -1
+        position = _skip_space(text, position)
+        separator = text[position : position + 1]
+    return position + 1 if separator == ']' else -1
+
+
+def _read_item(text: str, start: int) -> tuple[Any, int]:
+    """Return a listed object and its end; -1 if the end is unknown."""
+    empty = _EMPTY_OBJECT.match(text, start)
+    if empty is not None:
+        return {}, empty.end()
+    if not _is_at(text, start, '{'):
+        return _read_value(text, start, 0)
+    listed_object: dict[str, Any] = {}
+    end = -1
+    for member in _read_members(text, start, _MEMBER_LEVELS):
+        listed_object[member.name] = member.content
+        end = member.end
+        if member.name == _META and member.content == _UNDECODABLE_TEXT:
+            # The store wrote it, and any bytes may be in a name.
+            listed_object[_META] = _scan(text, member.start)[0]
+    is_whole = end >= 0 and _is_at(text, end, '}')
+    return listed_object, end + 1 if is_whole else -1
+
+
+def _read_value(text: str, start: int, levels: int) -> tuple[Any, int]:
+    """Return a value and its end; -1 if the end is unknown."""
     try:
-        document = json.loads(outline)
-    except _DECODE_ERRORS as error:
-        return UnreadablePart(type(error).__name__)
-    return _insert_parts(document, parts)
+        content, end = _scan(text, start)
+    except _SCAN_ERRORS as error:
+        reason = type(error).__name__
+        end = _find_end(text, start)
+    else:
+        if not _ESCAPED_BYTE.search(text, start, end):
+            return content, end
+        reason = _UNDECODABLE_TEXT.reason
+    if levels and end >= 0 and _is_at(text, start, '{'):
+        members = tuple(_read_members(text, start, levels - 1))
+        if not any(_is_lost_scalar(text, member) for member in members):
+            return {member.name: member.content for member in members}, end
+    return UnreadablePart(reason), end
+
 
+def _is_lost_scalar(text: str, member: _Member) -> bool:
+    if member.end < 0:
+        return True
+    is_lost = isinstance(member.content, UnreadablePart)
+    return is_lost and not _is_at(text, member.start, '[{')
 
-def _insert_parts(document: Any, parts: list[Any]) -> Any:
-    """Replace the placeholders in the outline of a document."""
 
-    def insert(value: Any) -> Any:
-        return parts[value[0]] if isinstance(value, list) else value
+def _read_members(text: str, start: int, levels: int) -> Iterator[_Member]:
+    """Yield the members of an object up to the first without a known end."""
+    position = start
+    separator = ','
+    while separator == ',':
+        named = _NAME.match(text, position + 1)
+        if named is None:
+            yield _Member('', UnreadablePart('name'), position, -1)
+            return
+        content, position = _read_value(text, named.end(), levels)
+        if position >= 0:
+            position = _skip_space(text, position)
+        yield _Member(named[1][1:-1], content, named.end(), position)
+        separator = text[position : position + 1] if position >= 0 else ''
 
-    if isinstance(document, list):
-        return list(map(insert, document))
-    return {name: insert(value) for name, value in document.items()}
 
+def _find_end(text: str, start: int) -> int:
+    """Return the end of a value that can't be decoded; -1 if it is unknown."""
+    if not _is_at(text, start, '[{'):
+        scalar = _SCALAR.match(text, start)
+        return scalar.end() if scalar else -1
+    end = _find_closing_bracket(text, start)
+    # A quote without its partner would take the next objects for strings.
+    return -1 if text.find(_META_NAME, start, end) >= 0 else end
 
-def _find_parts(body: bytes) -> Iterator[tuple[int, int]]:
-    """Yield the place of each object or list directly inside the document."""
+
+def _find_closing_bracket(text: str, start: int) -> int:
     depth = 0
-    start = 0
-    for match in _TOKEN.finditer(body):
-        token = match[0]
-        if token in _OPENING_BRACKETS:
-            depth += 1
-            if depth == 2:
-                start = match.start()
-        elif token in _CLOSING_BRACKETS:
-            depth -= 1
-            if depth == 1:
-                yield start, match.end()
+    position = start
+    while token := _TOKEN.match(text, position):
+        length = token.end() - position
+        if _is_at(text, position, '[{'):
+            depth += length
+        elif _is_at(text, position, ']}'):
+            depth -= length
+            if depth <= 0:
+                return token.end() + depth
+        position = token.end()
+    return -1
+
+
+def _skip_space(text: str, start: int) -> int:
+    space = _SPACE.match(text, start)
+    return space.end() if space else start
+
+
+def _is_at(text: str, position: int, characters: str) -> bool:
+    """Tell whether one of some characters is at a position."""
+    return position < len(text) and text[position] in characters
--- a/balsamshed/platform/listing.py
+++ b/balsamshed/platform/listing.py
@@ -6,7 +6,7 @@
 
 from balsamshed.edge.effects import ReadSource
 from balsamshed.front_ends.source_reader import ListPage
-from balsamshed.platform.documents import decode_document
+from balsamshed.platform.documents import decode_list
 from balsamshed.store.polling import Source
 from balsamshed.store.revisions import (
     MAX_ERA,
@@ -47,7 +47,7 @@
 ) -> ListPage | None:
     """Decode the response to a list request; None if it is malformed.
 
-    An object that cannot be read costs only itself; see `decode_document`.
+    An object that cannot be read costs only itself; see `decode_list`.
 
     Parameters
     ----------
@@ -57,18 +57,19 @@
         Headers by name in lower case. A store without eras names none.
     """
     era = _decode_era(headers.get(_ERA_HEADER, '0'))
-    content = _decode_json_object(body)
-    if content is None:
+    items: list[Any] = []
+    frame = decode_list(body, items.append)
+    if frame is None:
         return None
     # ``currentRev`` is the revision of the whole store.
-    items, revision = content.get('items'), content.get('currentRev')
-    if not isinstance(items, list) or not isinstance(revision, int):
+    revision = frame.fields.get('currentRev')
+    if not isinstance(revision, int):
         return None
     if era is None or not 0 <= revision <= MAX_NUMBER:
         return None
     next_after = ''
-    if content.get('hasMore') is True:
-        next_after = get_object_name(items[-1]) if items else ''
+    if frame.is_cut or frame.fields.get('hasMore') is True:
+        next_after = _find_last_name(items)
         if not next_after:
             # Without the rest of the list, its objects would count as gone.
             return None
@@ -76,6 +77,12 @@
     return ListPage(tuple(items), revision, next_after)
 
 
+def _find_last_name(items: list[Any]) -> str:
+    """Return the name after which the next page starts; empty without one."""
+    # What stands behind an object without a known end may be a part of it.
+    return next(filter(None, map(get_object_name, reversed(items))), '')
+
+
 def get_object_name(item: object) -> str:
     """Return the name of a stored object; empty if it has none."""
     meta = item.get('meta') if isinstance(item, Mapping) else None
@@ -113,9 +120,7 @@
     # Other writers can choose any name. The module is slow to import.
     from urllib.parse import quote
 
-    return quote(name, safe='', errors='surrogatepass')
-
-
-def _decode_json_object(body: bytes) -> Mapping[str, Any] | None:
-    content = decode_document(body)
-    return content if isinstance(content, Mapping) else None
+    try:
+        return quote(name, safe='', errors='surrogateescape')
+    except UnicodeEncodeError:
+        return quote(name, safe='', errors='surrogatepass')
--- a/testbed/metadata_store.py
+++ b/testbed/metadata_store.py
@@ -11,7 +11,7 @@
 from asyncio import AbstractEventLoop, BaseTransport, Protocol, Server
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import Any, cast
+from typing import Any, Final, cast
 from urllib.parse import parse_qs, urlsplit
 
 from balsamshed.front_ends.http_server import (
@@ -21,7 +21,10 @@
 )
 from balsamshed.front_ends.streams import Transport
 
-_PREFIX = '/v1/objects/'
+#: Size at which a page of a list ends, unless it has a single object.
+MAX_PAGE_BYTES: Final = 1_000_000
+
+_PREFIX: Final = '/v1/objects/'
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +82,7 @@
 
 
 def put_object(store: MetadataStore, kind: str, name: str, spec: Any) -> None:
-    """Create or replace an object."""
+    """Create or replace an object; bytes as its spec are listed as they are."""
     store.revision += 1
     store.objects_by_kind.setdefault(kind, {})[name] = {
         'meta': {'name': name, 'rev': store.revision},
@@ -128,20 +131,42 @@
     store.calls_by_kind[kind] += 1
     objects = source.objects_by_kind.get(kind, {})
     names = sorted(name for name in objects if name > after)
-    page = names[: store.page_size]
-    body = {
-        'items': [objects[name] for name in page],
-        'hasMore': len(page) < len(names),
-        'currentRev': source.revision,
-    }
+    page = _select_page(store, [objects[name] for name in names])
+    body = b'{"items":[%s],"hasMore":%s,"currentRev":%d}' % (
+        b','.join(page),
+        json.dumps(len(page) < len(names)).encode(),
+        source.revision,
+    )
     return ServerResponse(
         200,
-        json.dumps(body).encode(),
+        body,
         'application/json',
         (('Store-Era', str(source.era)),),
     )
 
 
+def _select_page(
+    store: MetadataStore, objects: list[dict[str, Any]]
+) -> list[bytes]:
+    """Return the encoded objects of the first page of a list."""
+    page: list[bytes] = []
+    size = 0
+    for listed in objects[: store.page_size]:
+        encoded = _encode_object(listed)
+        size += len(encoded)
+        if page and size > MAX_PAGE_BYTES:
+            break
+        page.append(encoded)
+    return page
+
+
+def _encode_object(listed: dict[str, Any]) -> bytes:
+    if not isinstance(listed['spec'], bytes):
+        return json.dumps(listed).encode()
+    meta = json.dumps(listed['meta']).encode()
+    return b'{"meta":%s,"spec":%s,"status":null}' % (meta, listed['spec'])
+
+
 class _StoreConnection(Protocol):
     """Connection of a client on an asyncio loop."""
 
