--- a/testbed/edge_site.py
+++ b/testbed/edge_site.py
@@ -30,6 +30,8 @@
 FIN: Final = 1
 #: Timeout of `wait_until`.
 WAIT_TIMEOUT_SECONDS: Final = 8
+#: Unix milliseconds after which the endpoints start.
+FIRST_START_MS: Final = 1_700_000_000_000
 
 _PORTS_PER_SITE: Final = 60
 _COOKIE_OFFSET: Final = 18
@@ -92,6 +94,8 @@
         self.folder = folder
         self.store = MetadataStore(page_size=2)
         self.endpoints: dict[int, RecordingEndpoint] = {}
+        #: Start of each endpoint in Unix milliseconds.
+        self.started_at_ms: dict[int, int] = {}
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
         self.free_ports = iter(reserve_ports(_PORTS_PER_SITE))
         self.packet_port = next(self.free_ports)
@@ -145,7 +149,10 @@
     async def start_endpoint(
         self, number: int, service: str = 'web', data_centre: str = 'a'
     ) -> None:
-        """Start an endpoint and write its entry to the store."""
+        """Start an endpoint and write its entry to the store.
+
+        Each endpoint starts a second after the one before.
+        """
         port = next(self.free_ports)
         endpoint = RecordingEndpoint(port)
         await asyncio.get_running_loop().create_datagram_endpoint(
@@ -153,6 +160,7 @@
             local_addr=('127.0.0.1', port),
         )
         self.endpoints[number] = endpoint
+        self.started_at_ms[number] = FIRST_START_MS + 1000 * len(self.endpoints)
         self.write_entry(number, service=service, data_centre=data_centre)
 
     def write_entry(
@@ -173,7 +181,7 @@
             'state': state,
             'warmupLeftMs': 0,
             'sequence': sequence,
-            'born': 1700000000000,
+            'born': self.started_at_ms[number],
         }
         put_object(self.store, 'servers', f'i-{number:x}', spec)
 
