Leave a shared cookie with an older endpoint whose entry has expired

What callers see: none has seen it. Two endpoints share a cookie, the entry of the older one expires while it still runs, and its open flows go to the younger one, which resets them (FLOW). Cause: the rule that the endpoint that started first keeps a cookie held among present endpoints only; removed ones came after all present ones. Evidence: a unit test and a test with real balancers, both failing before. Change: present and removed endpoints are ordered by their start together. The index is also rebuilt when a removed endpoint is forgotten, as the younger one gets no new flows until then. Why it works: a removed endpoint is kept as long as a flow can be open. Limits: a balancer that starts after the removal does not know the older one. IDs that share a cookie are one pair in 2**32, unless they are chosen for it.

--- a/balsamshed/endpoints/directory.py
+++ b/balsamshed/endpoints/directory.py
@@ -184,6 +184,8 @@
 ) -> tuple[EndpointChange, ...]:
     """Remove missing endpoints whose retention has ended.
 
+    Removed endpoints are forgotten after their retention.
+
     Returns
     -------
     tuple of EndpointChange
@@ -195,6 +197,8 @@
         if now - missing_since > MISSING_RETENTION_SECONDS
     }
     if not expired:
+        if _forget_removed(directory, now):
+            _index_endpoints(directory)
         return ()
     for instance in expired:
         del directory.missing_since[instance]
@@ -246,7 +250,8 @@
             changes.append(EndpointChange(kind, endpoint))
     directory.endpoints = newer
     _retain_removed(directory, changes, now)
-    if changes or not directory.by_cookie:
+    has_forgotten = _forget_removed(directory, now)
+    if changes or has_forgotten or not directory.by_cookie:
         _index_endpoints(directory)
     return tuple(changes)
 
@@ -313,22 +318,37 @@
         if change.kind is ChangeKind.REMOVED:
             endpoint = change.endpoint
             directory.removed[endpoint.instance] = (endpoint, now)
+
+
+def _forget_removed(directory: EndpointDirectory, now: float) -> bool:
+    """Forget removed endpoints that are listed again or whose flows ended.
+
+    Returns
+    -------
+    bool
+        Whether any was forgotten.
+    """
+    if not directory.removed:
+        return False
     expired_before = now - directory.removed_retention_seconds
-    directory.removed = {
+    kept = {
         instance: (endpoint, removed_at)
         for instance, (endpoint, removed_at) in directory.removed.items()
         if removed_at > expired_before and instance not in directory.endpoints
     }
+    has_forgotten = len(kept) < len(directory.removed)
+    directory.removed = kept
+    return has_forgotten
 
 
 def _index_endpoints(directory: EndpointDirectory) -> None:
     by_cookie: dict[tuple[str, int], Endpoint] = {}
     services: dict[str, list[Endpoint]] = {}
-    for endpoint in _sort_endpoints(directory):
+    for endpoint in _sort_known(directory):
         key = (endpoint.service, endpoint.cookie)
         # Of two endpoints with one cookie, every balancer assigns it to the
-        # one that started first, whose flows may be open, and the other one
-        # receives none.
+        # one that started first, whose flows may be open even if its entry
+        # has expired, and the other one receives none.
         if by_cookie.setdefault(key, endpoint) is not endpoint:
             continue
         if endpoint.instance in directory.endpoints:
@@ -366,9 +386,10 @@
     return services
 
 
-def _sort_endpoints(directory: EndpointDirectory) -> list[Endpoint]:
-    present = sorted(directory.endpoints.values(), key=_get_start)
-    return present + _list_removed(directory)
+def _sort_known(directory: EndpointDirectory) -> list[Endpoint]:
+    """Return the present and removed endpoints by the time of their start."""
+    known = (*directory.endpoints.values(), *_list_removed(directory))
+    return sorted(known, key=_get_start)
 
 
 def _list_removed(directory: EndpointDirectory) -> list[Endpoint]:
--- a/balsamshed/endpoints/tests/test_directory.py
+++ b/balsamshed/endpoints/tests/test_directory.py
@@ -92,6 +92,23 @@
         assert find_endpoint(directory, 'web', older.cookie) == older
 
 
+def test_removed_endpoint_keeps_a_shared_cookie():
+    """Guards against an endpoint that takes the open flows of an older one,
+    whose entry has expired while it still runs."""
+    older = build_endpoint(1, instance=9, started_at_ms=1)
+    younger = build_endpoint(2, instance=5, started_at_ms=2)
+    object.__setattr__(younger, 'cookie', older.cookie)
+    directory = EndpointDirectory(LIFETIME)
+    apply_view(directory, build_view(1, older, younger), now=0)
+    apply_view(directory, build_view(2, younger), now=1)
+    assert find_endpoint(directory, 'web', older.cookie) == older
+    assert list_available_endpoints(directory, 'web') == ()
+    # Its flows have ended.
+    assert expire_missing(directory, LIFETIME + 2) == ()
+    assert list_available_endpoints(directory, 'web') == (younger,)
+    assert find_endpoint(directory, 'web', older.cookie) == younger
+
+
 def test_flows_of_a_former_build_reach_their_endpoint():
     """Guards against open flows that break while balancers are replaced."""
     directory = EndpointDirectory(LIFETIME)
--- a/testbed/tests/test_shared_cookies.py
+++ b/testbed/tests/test_shared_cookies.py
@@ -90,10 +90,14 @@
     await check_packets_reach(site, hosts, HIGHER, 5000, cookie)
     number, _ = await open_flow(site, hosts[1], 5001)
     assert number == HIGHER
+    delete_object(site.store, 'servers', f'i-{HIGHER:x}')
+    await wait_for_change(site, 'removed', HIGHER)
+    await check_packets_reach(site, hosts, HIGHER, 5000, cookie)
 
 
 def test_endpoint_that_shares_a_cookie_takes_no_open_flows(tmp_path):
     """Guards against a new endpoint that takes the open flows of an older one,
-    since its ID is lower and leads to the same cookie."""
+    since its ID leads to the same cookie and is lower, or the entry of the
+    older one has expired."""
     with open_site(tmp_path) as site:
         asyncio.run(check_shared_cookie(site))
