Lead a cookie of former builds to the endpoint that started first

What callers see: none has seen it. After an upgrade from a build with folded cookies, a successor with a lower ID takes and resets the flows that the former build opened to another endpoint (FLOW). With numbered IDs this is certain. Cause: such a cookie led to the lowest ID, as in the former build, also for endpoints that started after the upgrade, to which it never opened a flow. It could also hide the cookie that an endpoint of another service has in this build, for a flow whose route has changed its service. Evidence: two unit tests that failed before. Change: former cookies follow the start of present and removed endpoints, and give way to a cookie of this build at an endpoint of any service. Limits: while balancers of both builds run, the former ones go on sending such packets to the lower ID.

--- a/balsamshed/endpoints/directory.py
+++ b/balsamshed/endpoints/directory.py
@@ -344,7 +344,8 @@
 def _index_endpoints(directory: EndpointDirectory) -> None:
     by_cookie: dict[tuple[str, int], Endpoint] = {}
     services: dict[str, list[Endpoint]] = {}
-    for endpoint in _sort_known(directory):
+    known = _sort_known(directory)
+    for endpoint in known:
         key = (endpoint.service, endpoint.cookie)
         # Of two endpoints with one cookie, every balancer assigns it to the
         # one that started first, whose flows may be open even if its entry
@@ -354,7 +355,7 @@
         if endpoint.instance in directory.endpoints:
             if not endpoint.is_draining:
                 services.setdefault(endpoint.service, []).append(endpoint)
-    _index_former_cookies(directory, by_cookie)
+    _index_former_cookies(known, by_cookie)
     directory.by_cookie = by_cookie
     directory.service_by_cookie = _index_services(by_cookie)
     directory.available_by_service = {
@@ -363,18 +364,20 @@
 
 
 def _index_former_cookies(
-    directory: EndpointDirectory,
+    known: Iterable[Endpoint],
     by_cookie: dict[tuple[str, int], Endpoint],
 ) -> None:
     """Add the cookies of flows that balancers of former builds opened.
 
-    Those assign a cookie that two endpoints share to the lower ID.
+    Such a cookie leads to the endpoint that started first, and to none if an
+    endpoint of any service has it as its cookie of this build: the flows of
+    this build are the more numerous ones.
     """
-    present = sorted(directory.endpoints.values(), key=_get_instance)
-    removed = sorted(_list_removed(directory), key=_get_instance)
-    for endpoint in present + removed:
+    taken = {cookie for _, cookie in by_cookie}
+    for endpoint in known:
         cookie = derive_former_cookie(endpoint.instance)
-        by_cookie.setdefault((endpoint.service, cookie), endpoint)
+        if cookie not in taken:
+            by_cookie.setdefault((endpoint.service, cookie), endpoint)
 
 
 def _index_services(
@@ -388,16 +391,8 @@
 
 def _sort_known(directory: EndpointDirectory) -> list[Endpoint]:
     """Return the present and removed endpoints by the time of their start."""
-    known = (*directory.endpoints.values(), *_list_removed(directory))
-    return sorted(known, key=_get_start)
-
-
-def _list_removed(directory: EndpointDirectory) -> list[Endpoint]:
-    return [endpoint for endpoint, _ in directory.removed.values()]
-
-
-def _get_instance(endpoint: Endpoint) -> int:
-    return endpoint.instance
+    removed = (endpoint for endpoint, _ in directory.removed.values())
+    return sorted((*directory.endpoints.values(), *removed), key=_get_start)
 
 
 def _get_start(endpoint: Endpoint) -> tuple[int, int]:
--- a/balsamshed/endpoints/tests/test_directory.py
+++ b/balsamshed/endpoints/tests/test_directory.py
@@ -8,6 +8,7 @@
     apply_view,
     expire_missing,
     find_endpoint,
+    find_endpoint_of_any_service,
     list_available_endpoints,
 )
 from balsamshed.endpoints.endpoint import derive_cookie, derive_former_cookie
@@ -109,6 +110,33 @@
     assert find_endpoint(directory, 'web', older.cookie) == younger
 
 
+def test_flows_of_a_former_build_stay_with_the_endpoint_that_started_first():
+    """Guards against a successor with a lower ID that takes the open flows of
+    another endpoint after an upgrade, while that is present or removed."""
+    older = build_endpoint(1, instance=0x200000001, started_at_ms=1)
+    successor = build_endpoint(2, instance=0x100000002, started_at_ms=2)
+    cookie = derive_former_cookie(older.instance)
+    assert cookie == derive_former_cookie(successor.instance)
+    directory = EndpointDirectory(LIFETIME)
+    apply_view(directory, build_view(1, older), now=0)
+    for revision, view in enumerate(((older, successor), (successor,)), 2):
+        apply_view(directory, build_view(revision, *view), now=1)
+        assert find_endpoint(directory, 'web', cookie) == older
+
+
+def test_former_cookie_gives_way_to_a_cookie_of_any_service():
+    """Guards against open flows that reach another service after a change of
+    their route, since an endpoint there had their cookie in a former build."""
+    endpoint = build_endpoint(1)
+    other = build_endpoint(2, instance=endpoint.cookie, service='other')
+    assert derive_former_cookie(other.instance) == endpoint.cookie
+    directory = EndpointDirectory(LIFETIME)
+    apply_view(directory, build_view(1, endpoint, other), now=0)
+    assert find_endpoint(directory, 'other', endpoint.cookie) is None
+    found = find_endpoint_of_any_service(directory, endpoint.cookie)
+    assert found == endpoint
+
+
 def test_flows_of_a_former_build_reach_their_endpoint():
     """Guards against open flows that break while balancers are replaced."""
     directory = EndpointDirectory(LIFETIME)
