Reject an entry without a start time

Cause: born was the only field that could be absent; it counted as 0. Endpoints always write it, so that such an entry is not their own. Change: an entry whose born is not a whole number above 0 is rejected. Why it works: all fields that an endpoint writes have to be there now. One test is renamed, as the start time is no longer optional.

--- a/balsamshed/platform/entries.py
+++ b/balsamshed/platform/entries.py
@@ -84,7 +84,7 @@
         return EntryRejection(name, 'address')
     return Endpoint(
         instance=int(instance[1], 16),
-        started_at_ms=spec.get('born') or 0,
+        started_at_ms=spec['born'],
         service=spec['service'],
         host=matched[1],
         port=int(matched[matched.lastindex or 0]),
@@ -277,9 +277,9 @@
     )
 
 
-def _is_optional_start_time(value: object) -> bool:
-    # ``born`` is absent where instances never restart with the same ID.
-    return value is None or _is_non_negative_integer(value)
+def _is_start_time(value: object) -> bool:
+    # An endpoint always writes it, so an entry without it is not its own.
+    return _is_non_negative_integer(value) and value != 0
 
 
 def _is_state(value: object) -> bool:
@@ -299,5 +299,5 @@
     'state': _is_state,
     'warmupLeftMs': _is_duration,
     'sequence': _is_non_negative_integer,
-    'born': _is_optional_start_time,
+    'born': _is_start_time,
 }
--- a/balsamshed/platform/tests/test_entries.py
+++ b/balsamshed/platform/tests/test_entries.py
@@ -100,6 +100,11 @@
         {'warmupLeftMs': -1},
         {'sequence': 1.5},
         {'born': 'yesterday'},
+        {'born': None},
+        {'born': 0},
+        {'born': -1},
+        {'born': True},
+        {'born': 1700000000000.5},
     ],
 )
 def test_invalid_field_rejects_the_entry(changes):
@@ -109,6 +114,15 @@
     assert entry == EntryRejection('i-2fa0', field)
 
 
+@pytest.mark.parametrize('field', build_entry()['spec'])
+def test_entry_without_a_field_is_rejected(field):
+    """Guards against flows to an endpoint of another service, under whose ID
+    another writer has left an entry that lacks a field."""
+    entry = build_entry()
+    del entry['spec'][field]
+    assert decode_endpoint(entry) == EntryRejection('i-2fa0', field)
+
+
 @pytest.mark.parametrize(
     'name', ['', '2fa0', 'i-', 'i-xyz', 'i-' + 17 * 'a', 'i-0', 'i-000']
 )
--- a/balsamshed/platform/tests/test_listing.py
+++ b/balsamshed/platform/tests/test_listing.py
@@ -118,7 +118,7 @@
     assert item['spec'] == UnreadablePart('UnicodeDecodeError')
 
 
-def test_unreadable_optional_field_is_not_taken_for_an_absent_one():
+def test_unreadable_start_time_rejects_the_entry():
     """Guards against an entry that is used without its start time."""
     entry = json.dumps(build_entry(born='X')).encode()
     entry = entry.replace(b'"X"', b'[' * 2000 + b']' * 2000)
--- a/testbed/tests/test_foreign_entries.py
+++ b/testbed/tests/test_foreign_entries.py
@@ -80,6 +80,39 @@
         asyncio.run(check_changes_apply(site, ODD_ENTRIES, page_size))
 
 
+async def check_incomplete_entry(site):
+    await site.start_store()
+    await site.start_endpoint(1)
+    await site.start_endpoint(2, service='next')
+    host = site.start_balancer(1)
+    await wait_until(lambda: site.is_ready(host), 'ready')
+    own = site.store.objects_by_kind['servers']['i-2']['spec']
+    foreign = {**own, 'service': 'web', 'sequence': 1}
+    del foreign['born']
+    put_object(site.store, 'servers', 'i-2', foreign)
+    await wait_until(
+        lambda: any(
+            event['event'] == 'entries_rejected'
+            for event in site.read_events(1)
+        ),
+        'entry rejected',
+    )
+    for flow in range(6000, 6008):
+        assert (await open_flow(site, host, flow))[0] == 1
+    # The endpoint writes its entry again.
+    site.write_entry(2, service='next', sequence=2)
+    site.write_configuration(2, service='next')
+    await wait_until(lambda: site.list_versions(1) == [1, 2], 'version 2')
+    assert (await open_flow(site, host, 6010))[0] == 2
+
+
+def test_entry_without_a_start_time_moves_no_endpoint(tmp_path):
+    """Guards against flows to an endpoint of another service, under whose ID
+    another writer has left an entry without a start time."""
+    with open_site(tmp_path) as site:
+        asyncio.run(check_incomplete_entry(site))
+
+
 def read_peak_memory(pid):
     """Return the highest resident memory of a process so far, in bytes."""
     with open(f'/proc/{pid}/status', encoding='ascii') as status:
