Name in reports the read of the store that an age counts from

Cause: an age in a report lacks the time under way, and its receiver passes it on. A balancer took its own confirmation that came back over slow links for the read of another one, so that the age that all believed hardly grew. Change: each read has a random number, in bits of the age that no build used. Of one read, the earliest known time counts; the latest known read confirms the view. Why it works: a confirmation that comes back names the same read, whichever way and however long it took. Tests: two of the former rule (allowances) are replaced by four of the new one; reports that confirm a view name a read.

--- a/balsamshed/codecs/reports.py
+++ b/balsamshed/codecs/reports.py
@@ -5,9 +5,14 @@
 the thrift library takes longer than the rest of the start.
 
 Big-endian: format number, length of the data centre's name, number of
-endpoints, number of peers, revision, age in milliseconds, version of the
-routes; then the name, the endpoints (cookie, requests in flight with the
-highest bit set for a suspected endpoint) and the addresses of the peers.
+endpoints, number of peers, revision, age, version of the routes; then the name,
+the endpoints (cookie, requests in flight with the highest bit set for a
+suspected endpoint) and the addresses of the peers.
+
+The age is the highest bit, 15 bits with the number of the read that confirmed
+the revision, and 16 bits with milliseconds. Balancers of former builds take all
+32 bits for milliseconds: such an age is weeks old to them, so that they read
+the store for themselves. Their own ages lack the highest bit and name no read.
 """
 
 from enum import StrEnum
@@ -30,6 +35,10 @@
 _MAX_IN_FLIGHT: Final = _SUSPECTED_BIT - 1
 _UNKNOWN_AGE: Final = 0xFFFFFFFF
 _MS_PER_SECOND: Final = 1000
+_READ_BIT: Final = 1 << 31
+_READ_SHIFT: Final = 16
+_MAX_AGE_MS: Final = (1 << _READ_SHIFT) - 1
+_READ_MASK: Final = (1 << 15) - 1
 
 
 class MalformedReport(StrEnum):
@@ -44,15 +53,13 @@
     """Return the datagram of a report."""
     name = report.data_centre.encode()[:255]
     endpoints = report.endpoints[:MAX_ENDPOINTS]
-    age = report.age_seconds * _MS_PER_SECOND
     header = _HEADER.pack(
         FORMAT_VERSION,
         len(name),
         len(endpoints),
         len(report.peers),
         report.revision,
-        # Rounded up: a peer must not take the confirmation for more recent.
-        ceil(age) if age < _UNKNOWN_AGE else _UNKNOWN_AGE,
+        _encode_age(report),
         report.version,
     )
     parts = [header, name]
@@ -72,7 +79,8 @@
     except error:
         return MalformedReport.TOO_SHORT
     format_version, name_length, endpoint_count, peer_count = header[:4]
-    revision, age, version = header[4:]
+    revision, encoded_age, version = header[4:]
+    age_seconds, read_number = _decode_age(encoded_age)
     if format_version != FORMAT_VERSION:
         return MalformedReport.WRONG_FORMAT
     endpoints_offset = _HEADER.size + name_length
@@ -82,7 +90,7 @@
     return PeerReport(
         datagram[_HEADER.size : endpoints_offset].decode('utf-8', 'replace'),
         revision,
-        float('inf') if age == _UNKNOWN_AGE else age / _MS_PER_SECOND,
+        age_seconds,
         tuple(
             EndpointReport(
                 cookie,
@@ -98,4 +106,24 @@
             for start in range(peers_offset, len(datagram), _ADDRESS_BYTES)
         ),
         version,
+        read_number,
     )
+
+
+def _encode_age(report: PeerReport) -> int:
+    age_ms = report.age_seconds * _MS_PER_SECOND
+    if age_ms > _MAX_AGE_MS:
+        return _UNKNOWN_AGE
+    # Rounded up: a peer must not take the confirmation for more recent.
+    age = max(0, ceil(age_ms))
+    return _READ_BIT | report.read_number << _READ_SHIFT | age
+
+
+def _decode_age(encoded: int) -> tuple[float, int]:
+    """Return the age in seconds and the number of the read."""
+    if encoded == _UNKNOWN_AGE:
+        return float('inf'), 0
+    if not encoded & _READ_BIT:
+        return encoded / _MS_PER_SECOND, 0
+    number = encoded >> _READ_SHIFT & _READ_MASK
+    return (encoded & _MAX_AGE_MS) / _MS_PER_SECOND, number
--- a/balsamshed/codecs/tests/test_edge_codecs.py
+++ b/balsamshed/codecs/tests/test_edge_codecs.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import replace
+from struct import unpack_from
 
 import pytest
 from hypothesis import given
@@ -48,6 +49,8 @@
 HOSTS = st.tuples(*[st.integers(0, 255)] * 4).map(
     lambda octets: '.'.join(map(str, octets))
 )
+#: Longest age that a report can tell.
+LONGEST_AGE_SECONDS = 65.535
 REPORTS = st.builds(
     PeerReport,
     st.text(max_size=20),
@@ -64,6 +67,7 @@
     ).map(tuple),
     st.lists(HOSTS, max_size=3).map(tuple),
     st.integers(-1, 2**62),
+    st.integers(0, 2**15 - 2),
 )
 
 
@@ -76,7 +80,12 @@
     assert decoded.revision == report.revision
     assert decoded.version == report.version
     assert decoded.data_centre == report.data_centre
-    assert abs(decoded.age_seconds - report.age_seconds) <= 0.001
+    if report.age_seconds > LONGEST_AGE_SECONDS:
+        assert decoded.age_seconds == float('inf')
+        assert decoded.read_number == 0
+    else:
+        assert abs(decoded.age_seconds - report.age_seconds) <= 0.001
+        assert decoded.read_number == report.read_number
 
 
 @given(REPORTS)
@@ -115,6 +124,33 @@
     assert decode_report(datagram) is MalformedReport.WRONG_FORMAT
 
 
+def test_report_of_the_former_build_is_decoded_without_a_read():
+    """Guards against balancers of two builds that do not see each other's load
+    while they run side by side."""
+    endpoints = (EndpointReport(7, 3, True),)
+    datagram = (
+        b'\x02\x01\x01\x01'
+        + (9).to_bytes(8, 'big')
+        + (250).to_bytes(4, 'big')
+        + (6).to_bytes(8, 'big')
+        + b'a'
+        + (7).to_bytes(4, 'big')
+        + (3 | 1 << 15).to_bytes(2, 'big')
+        + b'\x0a\x09\x00\x02'
+    )
+    expected = PeerReport('a', 9, 0.25, endpoints, ('10.9.0.2',), 6)
+    assert decode_report(datagram) == expected
+    assert expected.read_number == 0
+
+
+@given(REPORTS)
+def test_age_is_no_recent_one_to_a_former_build(report):
+    """Guards against balancers of a former build that take the number of a
+    read for a part of an age, and so an old view for a confirmed one."""
+    (milliseconds,) = unpack_from('>I', encode_report(report), 12)
+    assert milliseconds / 1000 > 24 * 24 * 3600
+
+
 def test_view_survives_the_round_trip():
     """Guards against endpoints or routes that are changed by the codec."""
     table = build_table(4, p443='web', p80='files')
--- a/balsamshed/edge/lifecycle.py
+++ b/balsamshed/edge/lifecycle.py
@@ -42,7 +42,7 @@
 from balsamshed.steering.requests import PendingRequest, expire_requests
 from balsamshed.steering.response_times import record_missing_answer
 from balsamshed.store.polling import (
-    get_reported_age,
+    get_view_age,
     is_read_due,
     record_pause,
     start_read,
@@ -126,7 +126,7 @@
     return PeerReport(
         edge.data_centre,
         edge.reads.revision,
-        get_reported_age(edge.reads, now),
+        get_view_age(edge.reads, now),
         tuple(
             EndpointReport(
                 cookie,
@@ -141,6 +141,7 @@
             includes_silent=edge.steering.cold_starts is not None,
         ),
         edge.steering.routes.version,
+        edge.reads.read_number,
     )
 
 
--- a/balsamshed/edge/peer_views.py
+++ b/balsamshed/edge/peer_views.py
@@ -71,7 +71,12 @@
         return effects
     version = edge.steering.routes.version
     if report.version <= version:
-        confirm_revision(edge.reads, report.revision, now - report.age_seconds)
+        confirm_revision(
+            edge.reads,
+            report.revision,
+            now - report.age_seconds,
+            report.read_number,
+        )
     can_fetch = edge.fetch_started_at is None and now >= edge.fetch_retry_at
     if can_fetch and has_newer_view(report, edge.reads.revision, version):
         effects.extend(_fetch_newer_view(edge, now))
--- a/balsamshed/edge/tests/test_views.py
+++ b/balsamshed/edge/tests/test_views.py
@@ -36,6 +36,9 @@
 from balsamshed.peers.view import StoreView
 from balsamshed.store.polling import Source, get_view_age, start_read
 
+#: Report of a peer that confirms revision 1.
+REPORT_OF_A_READ = PeerReport('a', 1, 0.1, (), (), read_number=7)
+
 
 def read_store(edge, view, table, now):
     start_read(edge.reads, now)
@@ -149,7 +152,7 @@
     from an older copy of the store, although its peers have a newer one."""
     edge = build_edge()
     read_store(edge, build_view(5, build_endpoint(1)), build_table(5), 0)
-    report = PeerReport('a', 5, 0.1, (), (), version=6)
+    report = PeerReport('a', 5, 0.1, (), (), version=6, read_number=7)
     assert list_fetches(tick_and_report(edge, '10.9.0.2', report, 1))
     # A view with older routes is not confirmed.
     assert get_view_age(edge.reads, 1) == 1
@@ -177,9 +180,9 @@
     edge = build_edge()
     read_store(edge, build_view(1, build_endpoint(1)), build_table(1), 0)
     edge.stale_reports_until = 10
-    tick_and_report(edge, '10.9.0.2', PeerReport('a', 1, 0.1, (), ()), 9)
+    tick_and_report(edge, '10.9.0.2', REPORT_OF_A_READ, 9)
     assert get_view_age(edge.reads, 9) == 9
-    tick_and_report(edge, '10.9.0.2', PeerReport('a', 1, 0.1, (), ()), 10)
+    tick_and_report(edge, '10.9.0.2', REPORT_OF_A_READ, 10)
     assert get_view_age(edge.reads, 10) < 0.2
 
 
@@ -188,7 +191,7 @@
     edge = build_edge()
     read_store(edge, build_view(1, build_endpoint(1)), build_table(1), 0)
     edge.last_tick_at = 0.1
-    handle_report(edge, '10.9.0.2', PeerReport('a', 1, 0.1, (), ()), 9)
+    handle_report(edge, '10.9.0.2', REPORT_OF_A_READ, 9)
     assert get_view_age(edge.reads, 9) == 9
 
 
--- a/balsamshed/edge/views.py
+++ b/balsamshed/edge/views.py
@@ -156,7 +156,7 @@
 
 
 def _finish_store_read(edge: Edge) -> list[EdgeEffect]:
-    if finish_read(edge.reads):
+    if finish_read(edge.reads, edge.randbelow):
         revision = format_revision(edge.reads.revision)
         return [LogEvent('store_regained', {'revision': revision})]
     return []
--- a/balsamshed/front_ends/edge_store.py
+++ b/balsamshed/front_ends/edge_store.py
@@ -24,15 +24,12 @@
 )
 from balsamshed.front_ends.http_session import HttpFailure
 from balsamshed.front_ends.source_reader import SourceListing, read_source
-from balsamshed.store.polling import Source, record_call
+from balsamshed.store.polling import Source
 from balsamshed.store.revisions import format_revision
 
 #: Failures that lie in the content of a list and not on the way to the store.
 _CONTENT_FAILURES: Final = frozenset(('malformed', 'too_many_pages'))
 
-#: Sources whose list shows the store's revision, with which a poll begins.
-_REVISION_SOURCES: Final = (Source.REVISION, Source.EVACUATIONS)
-
 
 def read_store(process: EdgeProcess, effect: ReadSource) -> None:
     """Read a source from the store and apply its content."""
@@ -54,12 +51,12 @@
     now = read_clock()
     record_duration(process, 'store_read', now - started_at)
     try:
-        effects = _apply_outcome(process, source, outcome, started_at, now)
+        effects = _apply_outcome(process, source, outcome, now)
     except Exception as error:
         # A read that never ends would be the last one of this process.
         report_error(process, error)
         failure = HttpFailure('internal_error')
-        effects = _apply_outcome(process, source, failure, started_at, now)
+        effects = _apply_outcome(process, source, failure, now)
     execute_effects(process, effects)
 
 
@@ -67,13 +64,10 @@
     process: EdgeProcess,
     source: Source,
     outcome: SourceListing | HttpFailure,
-    started_at: float,
     now: float,
 ) -> list[EdgeEffect]:
     if isinstance(outcome, HttpFailure):
         return _apply_failure(process, source, outcome, now)
-    if source in _REVISION_SOURCES:
-        record_call(process.edge.reads, now - started_at)
     if source is Source.REVISION:
         return handle_revision(process.edge, outcome.revision)
     if source is Source.EVACUATIONS:
--- a/balsamshed/peers/report.py
+++ b/balsamshed/peers/report.py
@@ -48,6 +48,9 @@
         IPv4 addresses of some peers with a current report at the sender.
     version : int
         Version of the routes in force at the sender; -1 without any.
+    read_number : int
+        Number of the read of the store that confirmed the revision, 15 bits;
+        zero without a confirmation, and from balancers of former builds.
     """
 
     data_centre: str
@@ -56,6 +59,7 @@
     endpoints: tuple[EndpointReport, ...]
     peers: tuple[str, ...]
     version: int = -1
+    read_number: int = 0
 
 
 def calculate_wire_size(report: PeerReport) -> int:
--- a/balsamshed/store/polling.py
+++ b/balsamshed/store/polling.py
@@ -7,17 +7,17 @@
 routes only if it has changed. Peers that receive a report of a confirmed
 revision need no read of their own.
 
-A report takes time that its reader does not know, so an age looks younger with
-each balancer that passes it on. Each sender therefore adds an allowance, and a
-balancer that has read the store itself takes a peer's confirmation for a later
-read only if it can't be its own one that came back.
+A report takes time that its receiver does not know, so an age looks younger
+with each balancer that passes it on. Each read of the store therefore has a
+number, which reports name: of one read, a balancer keeps the earliest time that
+it has learned, and a confirmation that comes back on another way is not newer.
 
 At startup a balancer reads a view that may be stale, because such a read costs
 a tenth of a current one and is not rate-limited. It serves with this view
 until its own read or a peer's report confirms the revision.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Final
 
@@ -30,9 +30,6 @@
 READER_RANK_DELAY_SECONDS: Final = 0.2
 #: Age of the view at which every balancer polls, whatever its rank.
 MAX_READ_INTERVAL_SECONDS: Final = 1.6
-#: Time that a report may be under way, added to an age that is passed on. With
-#: more, the last balancers of a group of 300 would read for themselves.
-RELAY_ALLOWANCE_SECONDS: Final = 0.15
 #: Delay after which a seed polls to confirm a possibly stale view, unless a
 #: peer's report has done so; reports of running peers arrive earlier. Other
 #: balancers wait for `MAX_READ_INTERVAL_SECONDS`, because ranks are unknown
@@ -51,6 +48,15 @@
 #: An outage counts as recent for this long after the last failed read. Failed
 #: reads are retried within a second.
 RECENT_OUTAGE_SECONDS: Final = 2.0
+#: Reads whose times are kept. Peers name their latest one, so that older ones
+#: are named for some seconds at most.
+MAX_KNOWN_READS: Final = 64
+#: Number of a read that is not known.
+NO_READ: Final = 0
+#: Numbers of reads are random, above `NO_READ` and below this limit: a report
+#: has 15 bits for them, which are all ones in an unknown age. Two reads with
+#: one number count as the earlier one, so that the later one confirms nothing.
+READ_NUMBER_LIMIT: Final = (1 << 15) - 1
 #: Resolution of the random jitter.
 _JITTER_STEPS: Final = 1024
 
@@ -79,11 +85,11 @@
         Start of the read in progress; None if there is none.
     may_be_stale : bool
         Whether the read in progress may return an outdated view.
-    read_at : float or None
-        Start of the last read by this balancer itself that confirmed the
-        revision; None without one.
-    call_seconds : float
-        Duration of the last call that showed the store's revision.
+    read_number : int
+        Number of the read that confirmed the revision, by this balancer or by
+        a peer; `NO_READ` if it is not known.
+    read_times : dict of int to float
+        Earliest known time of the latest reads, by their numbers.
     unconfirmed_since : float
         Time at which an unconfirmed view was read or taken from a peer.
     pending_revision : int
@@ -100,8 +106,8 @@
     confirmed_at: float | None = None
     started_at: float | None = None
     may_be_stale: bool = False
-    read_at: float | None = None
-    call_seconds: float = 0
+    read_number: int = NO_READ
+    read_times: dict[int, float] = field(default_factory=dict)
     unconfirmed_since: float = 0
     pending_revision: int = -1
     retry_at: float = 0
@@ -206,9 +212,17 @@
     state.pending_revision = min(state.pending_revision, revision)
 
 
-def finish_read(state: ReadState) -> bool:
+def finish_read(state: ReadState, randbelow: RandBelow) -> bool:
     """Record the successful end of a read.
 
+    Parameters
+    ----------
+    state : ReadState
+        Changed in place.
+    randbelow : callable
+        Returns a random integer from 0 to below its argument, for the number
+        of a read that confirms the revision.
+
     Returns
     -------
     bool
@@ -218,9 +232,10 @@
         state.revision = state.pending_revision
         if state.may_be_stale:
             state.unconfirmed_since = state.started_at or 0
-        else:
-            state.confirmed_at = state.started_at
-            state.read_at = state.started_at
+        elif state.started_at is not None:
+            number = 1 + randbelow(READ_NUMBER_LIMIT - 1)
+            state.read_times[number] = state.started_at
+            _apply_latest_read(state)
     state.started_at = None
     was_failing = state.consecutive_failures > 0
     state.consecutive_failures = 0
@@ -289,29 +304,41 @@
     state: ReadState,
     revision: int,
     confirmed_at: float,
+    read_number: int,
 ) -> None:
-    """Record a peer's report that a revision was current at a given time.
+    """Record a peer's report that a read has shown a revision.
 
     The report confirms this balancer's view only if both have the same
-    revision. The time may be late by the time that reports were under way.
+    revision, and if it names the read.
+
+    Parameters
+    ----------
+    state : ReadState
+        Changed in place.
+    revision : int
+        Revision of the peer's view.
+    confirmed_at : float
+        Time of the read on this balancer's clock; late by the time that
+        reports were under way.
+    read_number : int
+        Number of the read; `NO_READ` from balancers of former builds.
     """
-    if revision != state.revision:
+    if revision != state.revision or read_number == NO_READ:
         return
-    if state.confirmed_at is None:
-        state.confirmed_at = confirmed_at
-        return
-    tolerance: float = 0
-    if _has_confirmed_itself(state):
-        # A confirmation that came back has passed this balancer's own link
-        # twice, as a call does, and the links of others.
-        tolerance = RELAY_ALLOWANCE_SECONDS + 2 * state.call_seconds
-    if confirmed_at > state.confirmed_at + tolerance:
-        state.confirmed_at = confirmed_at
+    known_at = state.read_times.get(read_number)
+    if known_at is None or confirmed_at < known_at:
+        state.read_times[read_number] = confirmed_at
+        _apply_latest_read(state)
 
 
-def record_call(state: ReadState, seconds: float) -> None:
-    """Record how long a call to the store took."""
-    state.call_seconds = seconds
+def _apply_latest_read(state: ReadState) -> None:
+    """Let the latest of the known reads confirm the view."""
+    times = state.read_times
+    while len(times) > MAX_KNOWN_READS:
+        oldest = next(number for number in times if number != state.read_number)
+        del times[oldest]
+    state.read_number = max(times, key=times.__getitem__)
+    state.confirmed_at = times[state.read_number]
 
 
 def apply_peer_revision(state: ReadState, revision: int, now: float) -> None:
@@ -338,20 +365,3 @@
     if state.confirmed_at is None:
         return float('inf')
     return now - state.confirmed_at
-
-
-def get_reported_age(state: ReadState, now: float) -> float:
-    """Return the age of the view for a report to peers, in seconds.
-
-    It includes an allowance for the time that the report is under way. After
-    a read by the balancer itself, this is half the duration of its last call,
-    which has passed its own link twice.
-    """
-    age = get_view_age(state, now)
-    if _has_confirmed_itself(state):
-        return age + state.call_seconds / 2
-    return age + RELAY_ALLOWANCE_SECONDS
-
-
-def _has_confirmed_itself(state: ReadState) -> bool:
-    return state.read_at is not None and state.read_at == state.confirmed_at
--- a/balsamshed/store/tests/test_polling.py
+++ b/balsamshed/store/tests/test_polling.py
@@ -5,12 +5,13 @@
 from balsamshed.edge.tests.builders import always_zero
 from balsamshed.store.polling import (
     MAX_BACKOFF_SECONDS,
+    MAX_KNOWN_READS,
     MAX_READ_INTERVAL_SECONDS,
     MAX_STALE_READ_ATTEMPTS,
+    NO_READ,
     READ_INTERVAL_SECONDS,
     READ_TIMEOUT_SECONDS,
     RECENT_OUTAGE_SECONDS,
-    RELAY_ALLOWANCE_SECONDS,
     SEED_CONFIRMATION_DELAY_SECONDS,
     ReadState,
     Source,
@@ -18,15 +19,15 @@
     confirm_revision,
     fail_read,
     finish_read,
-    get_reported_age,
     get_view_age,
     had_recent_outage,
     is_read_due,
-    record_call,
     set_pending_revision,
     start_read,
 )
 
+#: Number of a read by a peer.
+PEER_READ = 7
 #: Time within which a drain must be in force.
 DRAIN_SECONDS = 3
 
@@ -36,7 +37,7 @@
     # Most tests concern a balancer that has completed its startup.
     state.may_be_stale = False
     has_changed = set_pending_revision(state, revision)
-    finish_read(state)
+    finish_read(state, always_zero)
     return has_changed
 
 
@@ -61,7 +62,7 @@
     """Guards against polls right after a peer's poll."""
     state = ReadState()
     read(state, 1, now=0)
-    confirm_revision(state, 1, confirmed_at=5)
+    confirm_revision(state, 1, 5, PEER_READ)
     assert not is_read_due(state, 0, True, now=5.5)
     assert get_view_age(state, 5.5) == 0.5
 
@@ -70,32 +71,56 @@
     """Guards against an outdated view that counts as current."""
     state = ReadState()
     read(state, 1, now=0)
-    confirm_revision(state, 2, confirmed_at=5)
-    confirm_revision(state, 0, confirmed_at=5)
+    confirm_revision(state, 2, 5, PEER_READ)
+    confirm_revision(state, 0, 5, PEER_READ)
     assert get_view_age(state, 5.5) == 5.5
 
 
-def test_own_confirmation_that_comes_back_is_not_newer():
+def test_confirmation_that_comes_back_is_not_newer():
     """Guards against an age that peers refresh by the time that reports were
-    under way."""
-    state = ReadState()
-    record_call(state, 0.2)
-    read(state, 1, now=5)
-    confirm_revision(state, 1, confirmed_at=5.5)
+    under way, however long that was."""
+    reader, peer = ReadState(), ReadState(revision=1)
+    read(reader, 1, now=5)
+    confirm_revision(peer, 1, 5.48, reader.read_number)
+    assert peer.read_number == reader.read_number
+    for confirmed_at in (5.1, 5.5, 5.96, 9):
+        confirm_revision(reader, 1, confirmed_at, peer.read_number)
+        assert get_view_age(reader, 6) == 1
+    # The report of a later read does confirm the view.
+    confirm_revision(reader, 1, 5.1, PEER_READ)
+    assert get_view_age(reader, 6) == pytest.approx(0.9)
+    assert reader.read_number == PEER_READ
+
+
+def test_earliest_time_of_a_read_counts():
+    """Guards against an age that lacks the time on a slow way, since a report
+    of the same read on a faster way comes later."""
+    state = ReadState(revision=1)
+    confirm_revision(state, 1, 5.9, PEER_READ)
+    confirm_revision(state, 1, 5, PEER_READ)
+    assert get_view_age(state, 6) == 1
+    # An older read that was under way for longer is not newer either.
+    confirm_revision(state, 1, 4, PEER_READ + 1)
+    confirm_revision(state, 1, 5.5, PEER_READ + 1)
     assert get_view_age(state, 6) == 1
-    confirm_revision(state, 1, confirmed_at=5.8)
-    assert get_view_age(state, 6) == pytest.approx(0.2)
+    assert state.read_number == PEER_READ
 
 
-def test_age_grows_with_each_balancer_that_passes_it_on():
-    """Guards against ages that lack the time that reports are under way."""
-    reader, peer = ReadState(), ReadState(revision=1)
-    record_call(reader, 0.1)
-    read(reader, 1, now=5)
-    assert get_reported_age(reader, 5.5) == pytest.approx(0.55)
-    confirm_revision(peer, 1, confirmed_at=5)
-    expected = 0.5 + RELAY_ALLOWANCE_SECONDS
-    assert get_reported_age(peer, 5.5) == pytest.approx(expected)
+def test_read_without_a_number_confirms_nothing():
+    """Guards against ages of former builds, which may be far too young."""
+    state = ReadState(revision=1)
+    confirm_revision(state, 1, 5, NO_READ)
+    assert state.confirmed_at is None
+
+
+def test_known_reads_are_bounded_and_keep_the_latest():
+    """Guards against memory that grows with each read of the group."""
+    state = ReadState(revision=1)
+    confirm_revision(state, 1, 900, 900)
+    for number in range(1, 3 * MAX_KNOWN_READS):
+        confirm_revision(state, 1, number, number)
+    assert len(state.read_times) == MAX_KNOWN_READS
+    assert state.read_number == 900
 
 
 def test_age_counts_from_the_start_of_the_read():
@@ -103,7 +128,7 @@
     state = ReadState(consecutive_failures=MAX_STALE_READ_ATTEMPTS)
     start_read(state, 1)
     set_pending_revision(state, 1)
-    finish_read(state)
+    finish_read(state, always_zero)
     assert get_view_age(state, 2) == 1
 
 
@@ -128,7 +153,7 @@
     assert waits == sorted(waits)
     assert waits[-1] <= MAX_BACKOFF_SECONDS
     start_read(state, now)
-    assert finish_read(state)
+    assert finish_read(state, always_zero)
 
 
 def test_outage_counts_as_recent_for_a_limited_time():
@@ -157,7 +182,7 @@
     start_read(state, 0)
     set_pending_revision(state, 2)
     apply_peer_revision(state, 5, 1)
-    finish_read(state)
+    finish_read(state, always_zero)
     assert state.revision == 5
 
 
@@ -168,7 +193,7 @@
     assert start_read(state, 0) is Source.ENDPOINTS
     assert state.may_be_stale
     set_pending_revision(state, 7)
-    finish_read(state)
+    finish_read(state, always_zero)
     assert get_view_age(state, 0.1) == float('inf')
     assert not is_read_due(
         state, 0, True, SEED_CONFIRMATION_DELAY_SECONDS - 0.01
@@ -178,7 +203,7 @@
     assert start_read(state, 1) is Source.REVISION
     assert not state.may_be_stale
     set_pending_revision(state, 7)
-    finish_read(state)
+    finish_read(state, always_zero)
     assert get_view_age(state, 1.5) == 0.5
 
 
@@ -211,10 +236,10 @@
     state = ReadState()
     start_read(state, 0)
     set_pending_revision(state, 7)
-    finish_read(state)
+    finish_read(state, always_zero)
     assert is_read_due(state, 0, True, SEED_CONFIRMATION_DELAY_SECONDS)
     assert not is_read_due(state, 0, False, MAX_READ_INTERVAL_SECONDS - 0.01)
     assert is_read_due(state, 0, False, MAX_READ_INTERVAL_SECONDS)
     # Once the view is confirmed, only the rank determines the delay.
-    confirm_revision(state, 7, 1)
+    confirm_revision(state, 7, 1, PEER_READ)
     assert is_read_due(state, 0, False, 1 + READ_INTERVAL_SECONDS)
--- a/testbed/tests/test_view_ages.py
+++ b/testbed/tests/test_view_ages.py
@@ -5,9 +5,13 @@
 
 import pytest
 
-from balsamshed.edge.effects import ReadSource, SendReport
+from balsamshed.edge.effects import FetchView, ReadSource, SendReport
 from balsamshed.edge.lifecycle import TICK_SECONDS, handle_tick
-from balsamshed.edge.peer_views import handle_report
+from balsamshed.edge.peer_views import (
+    create_view_for_peer,
+    handle_peer_view,
+    handle_report,
+)
 from balsamshed.edge.state import create_edge
 from balsamshed.edge.tests.builders import (
     build_endpoint,
@@ -24,19 +28,22 @@
     MAX_READ_INTERVAL_SECONDS,
     READ_INTERVAL_SECONDS,
     Source,
-    record_call,
 )
 
 REVISION = 5
 STORE_SECONDS = 0.004
+#: Bound for a change of routes.
+BOUND_SECONDS = 3.0
+CHANGE_COUNT = 8
+CHANGE_GAP_SECONDS = (0.5, 5.0)
 #: Time by which all balancers have confirmed their first views.
 START_SECONDS = 4.0
 
 
 class Group:
-    """Balancers whose reports and calls wait at the links of some of them.
+    """Balancers whose reports, calls and fetches wait at some of their links.
 
-    Nothing changes in the store, so only polls and reports are played.
+    A change of the store is a new revision with a new version of the routes.
     """
 
     def __init__(self, waits, seed):
@@ -45,6 +52,7 @@
         self.event_count = 0
         self.polls = []
         self.now = 0.0
+        self.revision = REVISION
         random_source = random.Random(seed)
         hosts = [f'10.9.0.{number}' for number in range(1, len(waits) + 1)]
         self.wait_by_host = dict(zip(hosts, waits, strict=True))
@@ -69,6 +77,7 @@
         while self.events[0][0] < seconds:
             self.now, _, callback, arguments = heappop(self.events)
             callback(*arguments)
+        self.now = seconds
 
     def tick(self, host):
         self.execute(host, handle_tick(self.edges[host], self.now))
@@ -79,10 +88,8 @@
             if isinstance(effect, ReadSource):
                 if effect.source is Source.REVISION:
                     self.polls.append(self.now)
-                seconds = STORE_SECONDS + 2 * self.wait_by_host[host]
-                self.call_later(
-                    seconds, self.answer, host, effect.source, seconds
-                )
+                wait = self.wait_by_host[host]
+                self.call_later(wait, self.read, host, effect.source)
             elif isinstance(effect, SendReport):
                 for target in effect.hosts:
                     wait = self.wait_by_host[host] + self.wait_by_host[target]
@@ -90,20 +97,39 @@
                         wait, self.receive, target, host, effect.report
                     )
 
+            elif isinstance(effect, FetchView):
+                wait = self.wait_by_host[host] + self.wait_by_host[effect.host]
+                # The connection is opened first.
+                self.call_later(3 * wait, self.give_view, host, effect, wait)
+
+    def give_view(self, host, effect, wait):
+        view = create_view_for_peer(
+            self.edges[effect.host], effect.revision, effect.version
+        )
+        self.call_later(wait, self.receive_view, host, view)
+
+    def receive_view(self, host, view):
+        effects = handle_peer_view(self.edges[host], view, self.now)
+        self.execute(host, effects)
+
+    def read(self, host, source):
+        seconds = STORE_SECONDS + self.wait_by_host[host]
+        self.call_later(seconds, self.answer, host, source, self.revision)
+
     def receive(self, host, sender, report):
         effects = handle_report(self.edges[host], sender, report, self.now)
         self.execute(host, effects)
 
-    def answer(self, host, source, seconds):
+    def answer(self, host, source, revision):
         edge = self.edges[host]
         if source is Source.REVISION:
-            record_call(edge.reads, seconds)
-            effects = handle_revision(edge, REVISION)
+            effects = handle_revision(edge, revision)
         elif source is Source.ENDPOINTS:
-            view = build_view(REVISION, build_endpoint(1))
+            view = build_view(revision, build_endpoint(1))
             effects = handle_endpoints(edge, view, self.now)
         else:
-            effects = handle_routes(edge, build_table(1), self.now, REVISION)
+            table = build_table(revision)
+            effects = handle_routes(edge, table, self.now, revision)
         self.execute(host, effects)
 
 
@@ -144,3 +170,40 @@
     """Guards against more calls to the store than the interval needs."""
     polls = list_polls((0,) * 7)
     assert len(polls) <= 20 / READ_INTERVAL_SECONDS + 1
+
+
+def find_longest_delay(waits, seed):
+    """Return the longest time until a change is in force at a free link."""
+    group = Group(waits, seed)
+    group.run(START_SECONDS)
+    free = [host for host, wait in group.wait_by_host.items() if not wait]
+    random_source = random.Random(seed)
+    longest = 0.0
+    for _ in range(CHANGE_COUNT):
+        group.run(group.now + random_source.uniform(*CHANGE_GAP_SECONDS))
+        changed_at = group.now
+        group.revision += 1
+        while any(
+            group.edges[host].steering.routes.version < group.revision
+            for host in free
+        ):
+            group.run(group.now + 0.01)
+            longest = max(longest, group.now - changed_at)
+            assert longest < 2 * BOUND_SECONDS
+    return longest
+
+
+@pytest.mark.parametrize('seed', range(1, 7))
+@pytest.mark.parametrize('zone', [slice(0, 3), slice(3, 5), slice(5, 7)])
+@pytest.mark.parametrize('wait', [0.1, 0.3, 0.48])
+def test_changes_are_in_force_while_packets_wait_at_the_links_of_a_zone(
+    wait, zone, seed
+):
+    """Guards against balancers with free links that read the store too late,
+    since ages that come back over slow links look like those of a new read.
+
+    Drains and routes came into force up to 4 s late.
+    """
+    waits = [0.0] * 7
+    waits[zone] = [wait] * len(waits[zone])
+    assert find_longest_delay(waits, seed) <= BOUND_SECONDS
