Bound the time that one entry takes to read

Cause: brackets of an unreadable page were searched in Python in the loop that forwards packets, at each read, in time that grows with the size of the entry. Change: an object is read up to 65,536 characters, but for the configuration; 64 members and 4,096 tokens of an unreadable value are searched at most. Beyond that the list is cut there and the next page starts after the object. A list may have 400 pages. Why it works: no search depends on the size of an entry any more.

--- a/balsamshed/front_ends/source_reader.py
+++ b/balsamshed/front_ends/source_reader.py
@@ -12,8 +12,9 @@
 )
 from balsamshed.store.polling import READ_TIMEOUT_SECONDS, Source
 
-#: Limit on the pages of one list; the largest group of endpoints has 150.
-MAX_PAGES: Final = 200
+#: Limit on the pages of one list. The largest group of endpoints has 150, and
+#: an object that is odd or large may end a page early.
+MAX_PAGES: Final = 400
 
 _OK: Final = 200
 
--- a/balsamshed/platform/documents.py
+++ b/balsamshed/platform/documents.py
@@ -8,13 +8,16 @@
 an object can't be told, the list is cut there, and the next page starts after
 that object.
 
-Large lists are read in the same way, so that only one object is held decoded.
+Large lists are read in the same way, so that only one object is held decoded. A
+list is also cut at a large object, unless its reader needs it: looking for its
+end takes longer, the larger it is.
 """
 
 import json
 import re
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
+from itertools import islice
 from typing import Any, Final
 
 #: Handles one object of a list.
@@ -24,6 +27,13 @@
 #: as much memory; of a larger one, a single object at a time is held decoded.
 MAX_WHOLE_BYTES: Final = 262_144
 
+#: Characters up to which an object is read; a sound entry has some 300.
+MAX_OBJECT_SIZE: Final = 65_536
+#: Limits of what is searched of an unreadable value: members of an object, and
+#: tokens up to its closing bracket. A sound entry has nine members.
+MAX_MEMBERS: Final = 64
+MAX_TOKENS: Final = 4096
+
 #: Nesting of an object's members that are read by their own members.
 _MEMBER_LEVELS: Final = 1
 _ITEMS: Final = 'items'
@@ -105,7 +115,9 @@
     end: int
 
 
-def decode_list(body: bytes, handle_item: ItemHandler) -> ListFrame | None:
+def decode_list(
+    body: bytes, handle_item: ItemHandler, large_name: str = ''
+) -> ListFrame | None:
     """Decode a list of objects, of which single parts may be unreadable.
 
     Parameters
@@ -116,6 +128,9 @@
         Called for each listed object, with an `UnreadablePart` in place of
         each part that cannot be decoded. An object whose end can't be told is
         the last one, and may lack members.
+    large_name : str, optional
+        Name of the only object that may be larger than `MAX_OBJECT_SIZE` in a
+        list that is read object by object.
 
     Returns
     -------
@@ -130,7 +145,7 @@
     text = body.decode(errors='surrogateescape')
     fields: dict[str, Any] = {}
     try:
-        is_whole = _read_list(text, fields, handle_item)
+        is_whole = _read_list(text, fields, handle_item, large_name)
     except _SCAN_ERRORS:
         is_whole = False
     if is_whole:
@@ -139,6 +154,14 @@
     return None if tail is None else ListFrame(fields | tail, is_cut=True)
 
 
+def get_object_name(listed_object: Any) -> str:
+    """Return the name of a listed object; empty if it has none."""
+    is_mapping = isinstance(listed_object, Mapping)
+    meta = listed_object.get(_META) if is_mapping else None
+    name = meta.get('name') if isinstance(meta, Mapping) else None
+    return name if isinstance(name, str) else ''
+
+
 def _handle_all(document: Any, handle_item: ItemHandler) -> ListFrame | None:
     listed = document.pop(_ITEMS, None) if isinstance(document, dict) else None
     if not isinstance(listed, list):
@@ -149,7 +172,10 @@
 
 
 def _read_list(
-    text: str, fields: dict[str, Any], handle_item: ItemHandler
+    text: str,
+    fields: dict[str, Any],
+    handle_item: ItemHandler,
+    large_name: str,
 ) -> bool:
     """Read a list object by object.
 
@@ -165,7 +191,7 @@
         if named is None:
             return False
         if named[1] == f'"{_ITEMS}"':
-            position = _read_items(text, named.end(), handle_item)
+            position = _read_items(text, named.end(), handle_item, large_name)
         else:
             content, position = _scan(text, named.end())
             fields[named[1][1:-1]] = content
@@ -186,7 +212,12 @@
         return None
 
 
-def _read_items(text: str, start: int, handle_item: ItemHandler) -> int:
+def _read_items(
+    text: str,
+    start: int,
+    handle_item: ItemHandler,
+    large_name: str,
+) -> int:
     """Return the position after a list of objects; -1 if it is unknown."""
     empty = _EMPTY_LIST.match(text, start)
     if empty is not None:
@@ -195,7 +226,13 @@
     separator = ',' if _is_at(text, start, '[') else ''
     while separator == ',':
         start = _skip_space(text, position + 1)
-        listed_object, position = _read_item(text, start)
+        listed_object, position = _read_small_item(text, start)
+        if (
+            position < 0
+            and large_name
+            and get_object_name(listed_object) == large_name
+        ):
+            listed_object, position = _read_item(text, start)
         handle_item(listed_object)
         if position < 0:
             return -1
@@ -204,6 +241,13 @@
     return position + 1 if separator == ']' else -1
 
 
+def _read_small_item(text: str, start: int) -> tuple[Any, int]:
+    """Return an object and its end; -1 if it is large or its end unknown."""
+    part = text[start : start + MAX_OBJECT_SIZE]
+    listed_object, size = _read_item(part, 0)
+    return listed_object, start + size if size >= 0 else -1
+
+
 def _read_item(text: str, start: int) -> tuple[Any, int]:
     """Return a listed object and its end; -1 if the end is unknown."""
     empty = _EMPTY_OBJECT.match(text, start)
@@ -235,9 +279,11 @@
             return content, end
         reason = _UNDECODABLE_TEXT.reason
     if levels and end >= 0 and _is_at(text, start, '{'):
-        members = tuple(_read_members(text, start, levels - 1))
-        if not any(_is_lost_scalar(text, member) for member in members):
-            return {member.name: member.content for member in members}, end
+        members = _read_members(text, start, levels - 1)
+        first = tuple(islice(members, MAX_MEMBERS + 1))
+        is_lost = any(_is_lost_scalar(text, member) for member in first)
+        if len(first) <= MAX_MEMBERS and not is_lost:
+            return {member.name: member.content for member in first}, end
     return UnreadablePart(reason), end
 
 
@@ -277,7 +323,10 @@
 def _find_closing_bracket(text: str, start: int) -> int:
     depth = 0
     position = start
-    while token := _TOKEN.match(text, position):
+    for _ in range(MAX_TOKENS):
+        token = _TOKEN.match(text, position)
+        if token is None:
+            return -1
         length = token.end() - position
         if _is_at(text, position, '[{'):
             depth += length
--- a/balsamshed/platform/listing.py
+++ b/balsamshed/platform/listing.py
@@ -8,7 +8,7 @@
 
 from balsamshed.edge.effects import ReadSource
 from balsamshed.front_ends.source_reader import ListPage
-from balsamshed.platform.documents import decode_list
+from balsamshed.platform.documents import decode_list, get_object_name
 from balsamshed.platform.entries import (
     EntryRejection,
     decode_endpoint,
@@ -101,7 +101,8 @@
     def handle_item(item: object) -> None:
         items.append(list_object(source, item))
 
-    frame = decode_list(body, handle_item)
+    large_name = CONFIGURATION_NAME if source is Source.ROUTES else ''
+    frame = decode_list(body, handle_item, large_name)
     if frame is None:
         return None
     # ``currentRev`` is the revision of the whole store.
@@ -125,9 +126,8 @@
     meta = item.get('meta') if isinstance(item, Mapping) else None
     if not isinstance(meta, Mapping):
         meta = {}
-    name = meta.get('name')
     return ListedObject(
-        name if isinstance(name, str) else '',
+        get_object_name(item),
         _get_revision(meta, 'rev'),
         _get_revision(meta, 'createRev'),
         _CONTENT_DECODERS[source](item),
@@ -147,9 +147,8 @@
 
 def _decode_configuration(item: object) -> RouteTable | EntryRejection | None:
     """Decode the object that holds the configuration; None for others."""
-    meta = item.get('meta') if isinstance(item, Mapping) else None
-    name = meta.get('name') if isinstance(meta, Mapping) else None
-    return decode_routes(item) if name == CONFIGURATION_NAME else None
+    is_current = get_object_name(item) == CONFIGURATION_NAME
+    return decode_routes(item) if is_current else None
 
 
 def _ignore_content(_item: object) -> None:
--- a/balsamshed/platform/tests/test_documents.py
+++ b/balsamshed/platform/tests/test_documents.py
@@ -1,6 +1,7 @@
 """Tests of lists in which another writer has left odd entries."""
 
 import json
+import time
 from urllib.parse import unquote_to_bytes
 
 import pytest
@@ -9,9 +10,10 @@
 
 from balsamshed.edge.effects import ReadSource
 from balsamshed.front_ends.source_reader import SourceListing
+from balsamshed.platform.documents import MAX_WHOLE_BYTES
 from balsamshed.platform.listing import decode_page, format_list_path
 from balsamshed.platform.tests.test_entries import build_entry
-from balsamshed.platform.wire import decode_endpoints
+from balsamshed.platform.wire import decode_configuration, decode_endpoints
 from balsamshed.store.polling import Source
 
 MAX_PAGES = 12
@@ -143,3 +145,58 @@
     so take up, or cut off, the entries behind it."""
     specs = {**list_sound(1, 3, 5), b'i-2': b''.join(parts), b'i-4': b'"'}
     assert read_instances(specs, page_size) == {1, 3, 5}
+
+
+def test_large_configuration_is_read_beside_a_large_draft():
+    """Guards against a size limit that leaves out the configuration itself."""
+    draft = encode_object(b'"draft"', b'[%s0]' % (b'{},' * 100_000))
+    routes = [
+        {
+            'name': f'r{number}',
+            'host': '198.51.100.1',
+            'pathPrefix': f'/{number}/',
+            'service': 'web',
+        }
+        for number in range(1, 6001)
+    ]
+    spec = {'version': 7, 'routes': routes, 'services': [{'name': 'web'}]}
+    main = encode_object(b'"main"', json.dumps(spec).encode())
+    for listed in ((main, draft), (main,)):
+        body = b'{"items":[%s],"hasMore":false,"currentRev":9}' % b','.join(
+            listed
+        )
+        assert len(body) > MAX_WHOLE_BYTES
+        page = decode_page(Source.ROUTES, body)
+        table = decode_configuration(SourceListing(page.items, 9, 9))
+        assert (table.version, len(table.routes)) == (7, 6000)
+
+
+#: Large entries that take long to read in one way or another.
+SLOW_SPECS = {
+    'lists': b'[' + b'[],' * 345_000 + b'"' + b'\xe9' * 5000 + b'"]',
+    'nesting': b'[' * 520_000 + b']' * 520_000,
+    'open nesting': b'[0,' * 340_000 + b'0',
+    'objects': b'{"a":[' + b'{"b":[0]},' * 100_000 + b'0],"c":"\xe9"}',
+    'members': b'{' + b'"a":1,' * 170_000 + b'"b":"\xe9"}',
+    'brackets in strings': b'[' + b'"[",' * 250_000 + b'[' * 2000 + b']' * 2001,
+    'digits': b'7' * 1_040_000,
+}
+
+
+@pytest.mark.parametrize('source', [Source.ENDPOINTS, Source.ROUTES])
+@pytest.mark.parametrize('spec', SLOW_SPECS.values(), ids=SLOW_SPECS)
+def test_odd_entry_takes_about_as_long_as_a_sound_one_of_its_size(spec, source):
+    """Guards against an entry that takes seconds to read in the loop that
+    forwards packets: 3.4 s for 1 MB of lists."""
+    sound = b'[%s0]' % (b'{},' * (len(spec) // 3))
+    started_at = time.process_time()
+    json.loads(sound)
+    sound_seconds = time.process_time() - started_at
+    body = b'{"items":[%s],"hasMore":true,"currentRev":9}' % encode_object(
+        b'"i-7"', spec
+    )
+    started_at = time.process_time()
+    page = decode_page(source, body)
+    odd_seconds = time.process_time() - started_at
+    assert page.next_after == 'i-7'
+    assert odd_seconds < 8 * sound_seconds
--- a/testbed/tests/test_foreign_entries.py
+++ b/testbed/tests/test_foreign_entries.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from testbed.edge_site import open_flow, open_site, wait_until
+from balsamshed.platform.tests.test_documents import SLOW_SPECS
+from testbed.edge_site import (
+    SYN,
+    build_packet,
+    open_flow,
+    open_site,
+    wait_until,
+)
 from testbed.metadata_store import put_object
 
 #: Bound for a drain and for a change of routes, in seconds.
@@ -15,6 +22,8 @@
 #: Largest object that the store takes.
 MAX_OBJECT_BYTES = 1_048_576
 LARGE_COUNT = 48
+#: Deadline of the most urgent requests.
+DEADLINE_SECONDS = 0.8
 KINDS = ('servers', 'config', 'evacuations', 'balsamshed')
 #: The bytes of an entry, by what is odd.
 ODD_ENTRIES = {
@@ -160,3 +169,44 @@
     count = (MAX_OBJECT_BYTES - len(head) - len(end)) // len(record)
     with open_site(tmp_path) as site:
         asyncio.run(check_memory(site, head + record * count + end))
+
+
+async def check_packets_pass(site):
+    site.store.page_size = 500
+    await site.start_store()
+    await site.start_endpoint(1)
+    await site.start_endpoint(2, service='next')
+    host = site.start_balancer(1)
+    await wait_until(lambda: site.is_ready(host), 'ready')
+    for number, spec in enumerate(SLOW_SPECS.values()):
+        put_object(site.store, 'servers', f'import-{number}', spec)
+    loop = asyncio.get_running_loop()
+    sent, delays = [], []
+
+    def handle_datagram(_datagram):
+        delays.append(loop.time() - sent[len(delays)])
+
+    site.endpoints[1].handle_datagram = handle_datagram
+    for flow in range(6000, 6080):
+        if flow % 20 == 0:
+            # Each change makes the balancer read the list again.
+            state = 'draining' if flow % 40 else 'ready'
+            site.write_entry(2, state, service='next')
+        sent.append(loop.time())
+        site.send_packet(host, build_packet(SYN, flow))
+        await asyncio.sleep(0.05)
+    await wait_until(lambda: len(delays) >= len(sent), 'all openings')
+    assert max(delays) < DEADLINE_SECONDS
+    rejected = [
+        event['count']
+        for event in site.read_events(1)
+        if event['event'] == 'entries_rejected'
+    ]
+    assert rejected[-1] == str(len(SLOW_SPECS))
+
+
+def test_large_entries_hold_up_no_packets(tmp_path):
+    """Guards against an entry of another writer that takes seconds to read in
+    the loop that forwards packets, so that nobody is served."""
+    with open_site(tmp_path) as site:
+        asyncio.run(check_packets_pass(site))
