Limit the names that an entry of another writer may give

Cause: any text was taken for the name of a service, of a data centre or of an evacuation. A name of 60,000 characters went into log lines and into the views of all peers; text with lone surrogates, which JSON allows, can't be encoded. Change: names have at most 255 printable characters; the name of a rejected entry is shortened in the log, and names that are no evacuation's are not passed on.

--- a/balsamshed/platform/entries.py
+++ b/balsamshed/platform/entries.py
@@ -35,6 +35,9 @@
 _MAX_INTEGER: Final = 2**63 - 1
 _MAX_SLOTS: Final = 1_000_000
 _MAX_DURATION_MS: Final = 86_400_000
+#: Characters of the longest name that an entry may give. Names go into log
+#: lines and into the views of all peers.
+MAX_NAME_LENGTH: Final = 255
 #: Values of ``type`` for routes whose requests may run more than once.
 _IDEMPOTENT_TYPES: Final = ('safe', 'download')
 _READY: Final = 'ready'
@@ -107,11 +110,11 @@
     Returns
     -------
     str or EntryRejection
-        The name of the data centre, or the first invalid field. Any name is
-        accepted, since the endpoints of a data centre may come later.
+        The name of the data centre, or the first invalid field. Any printable
+        name is accepted, as the endpoints of a data centre may come later.
     """
     name, spec = _get_name_and_spec(item)
-    if not name:
+    if not _is_name(name):
         return EntryRejection(name, 'name')
     return name if spec is not None else EntryRejection(name, 'spec')
 
@@ -249,6 +252,15 @@
     return isinstance(value, str)
 
 
+def _is_name(value: object) -> bool:
+    # Text with lone surrogates, which JSON allows, can't be encoded.
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_NAME_LENGTH
+        and value.isprintable()
+    )
+
+
 def _is_non_empty_string(value: object) -> bool:
     return isinstance(value, str) and bool(value)
 
@@ -291,9 +303,9 @@
 
 
 _ENDPOINT_FIELD_CHECKS: Final = {
-    'service': _is_non_empty_string,
-    'address': _is_non_empty_string,
-    'zone': _is_non_empty_string,
+    'service': _is_name,
+    'address': _is_name,
+    'zone': _is_name,
     'version': _is_string,
     'maxConcurrency': _is_slot_count,
     'state': _is_state,
--- a/balsamshed/platform/tests/test_entries.py
+++ b/balsamshed/platform/tests/test_entries.py
@@ -82,6 +82,11 @@
     [
         {'service': 3},
         {'service': ''},
+        {'service': 256 * 'w'},
+        {'service': 'web\ud800'},
+        {'service': 'web\n'},
+        {'zone': 256 * 'a'},
+        {'zone': '\x00'},
         {'address': '10.1.2.3'},
         {'address': '10.1.2.300:80'},
         {'address': '10.1.2.3:0'},
@@ -114,6 +119,12 @@
     assert entry == EntryRejection('i-2fa0', field)
 
 
+def test_long_and_accented_names_are_accepted():
+    """Guards against a limit of names that leaves out sound endpoints."""
+    entry = build_entry(service=255 * 'w', zone='qu\u00e9bec est')
+    assert decode_endpoint(entry).data_centre == 'qu\u00e9bec est'
+
+
 @pytest.mark.parametrize('field', build_entry()['spec'])
 def test_entry_without_a_field_is_rejected(field):
     """Guards against flows to an endpoint of another service, under whose ID
--- a/balsamshed/platform/tests/test_listing.py
+++ b/balsamshed/platform/tests/test_listing.py
@@ -154,6 +154,17 @@
     assert rejected == ('c:spec', ':name', ':name')
 
 
+def test_name_of_a_rejected_entry_is_shortened():
+    """Guards against log lines as long as another writer's names."""
+    name = 'n' * 60_000
+    items = (build_entry(name), {'meta': {'name': name}, 'spec': {}})
+    _, rejected = decode_endpoints(list_items(Source.ENDPOINTS, items))
+    assert rejected == (f'{"n" * 255}:id', f'{"n" * 255}:id')
+    view, rejected = decode_evacuations(list_items(Source.EVACUATIONS, items))
+    assert rejected == (f'{"n" * 255}:name', f'{"n" * 255}:name')
+    assert view == EvacuationView(9, {}, frozenset())
+
+
 def test_configuration_is_found_by_its_name():
     """Guards against routes taken from another object of the same kind."""
     other = {**build_configuration(), 'meta': {'name': 'draft'}}
--- a/balsamshed/platform/wire.py
+++ b/balsamshed/platform/wire.py
@@ -8,7 +8,7 @@
 from balsamshed.evacuations.view import EvacuationView
 from balsamshed.front_ends.source_reader import SourceListing, StoreFormat
 from balsamshed.front_ends.wire_format import WireFormat
-from balsamshed.platform.entries import EntryRejection
+from balsamshed.platform.entries import MAX_NAME_LENGTH, EntryRejection
 from balsamshed.platform.listing import (
     CONFIGURATION_NAME,
     decode_page,
@@ -62,9 +62,9 @@
         entry = item.content
         change_revisions.add(combine_revision(era, item.revision))
         if isinstance(entry, EntryRejection):
-            rejected.append(f'{entry.name}:{entry.field}')
+            rejected.append(_describe_rejection(entry.name, entry.field))
         elif entry.instance in endpoints:
-            rejected.append(f'{item.name}:id')
+            rejected.append(_describe_rejection(item.name, 'id'))
         else:
             endpoints[entry.instance] = entry
     if rejected or len(change_revisions) < len(endpoints):
@@ -94,13 +94,25 @@
             rejected.append(entry)
         else:
             listed[entry] = item.revision
-    unreadable = frozenset(entry.name for entry in rejected)
+    # No evacuation in force has a name that is rejected itself. Without a name,
+    # any of them may be meant.
+    unreadable = frozenset(
+        entry.name
+        for entry in rejected
+        if entry.field != 'name' or not entry.name
+    )
     return (
         EvacuationView(listing.revision, listed, unreadable),
-        tuple(f'{entry.name}:{entry.field}' for entry in rejected),
+        tuple(
+            _describe_rejection(entry.name, entry.field) for entry in rejected
+        ),
     )
 
 
+def _describe_rejection(name: str, field: str) -> str:
+    return f'{name[:MAX_NAME_LENGTH]}:{field}'
+
+
 def decode_configuration(listing: SourceListing) -> RouteTable | str:
     """Return the routes of a listing, or the reason why there are none."""
     for item in listing.items:
