Let an odd entry cost no read of the routes after each change

Cause: while any entry was rejected, changes of endpoints never accounted for all changes of the store, so that all routes were read after each of them. On small links with 3,000 routes one odd entry of another writer filled the link. Change: revisions of accepted entries are counted, those of rejected ones left out. An entry that has become invalid counts as gone only. Why it is safe: each counted revision is that of one accepted entry or of one that is gone; a change of anything else is not accounted for, and the routes are read. Not seen by callers.

--- a/balsamshed/platform/wire.py
+++ b/balsamshed/platform/wire.py
@@ -60,15 +60,16 @@
     era = get_era(listing.revision)
     for item in sorted(listing.items, key=_get_creation):
         entry = item.content
-        change_revisions.add(combine_revision(era, item.revision))
         if isinstance(entry, EntryRejection):
             rejected.append(_describe_rejection(entry.name, entry.field))
         elif entry.instance in endpoints:
             rejected.append(_describe_rejection(item.name, 'id'))
         else:
             endpoints[entry.instance] = entry
-    if rejected or len(change_revisions) < len(endpoints):
-        # An entry that has become invalid would count as changed and as gone.
+            # Of accepted entries only: one that has become invalid would count
+            # as changed and as gone.
+            change_revisions.add(combine_revision(era, item.revision))
+    if len(change_revisions) < len(endpoints):
         change_revisions.clear()
     view = EndpointView(
         listing.revision,
