--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -860,10 +860,9 @@
         task.cancel()
 
 
-def run_case(record, play, balancers=3):
+def run_case(record, play, has_trouble, balancers=3):
     """Play a case; exit with 1 if a rule was broken, 0 if not, 2 on failure."""
     site = Site(record, balancers=balancers)
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
         asyncio.run(asyncio.wait_for(_play(site, play, has_trouble), 115))
     except Exception as error:  # noqa: BLE001
